--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds everything with warnings as errors, checks format and lint, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+./scripts/build.sh
+./scripts/check-style.sh
+ctest --test-dir "$build" --output-on-failure -j 4
--- /dev/null
+++ b/src/libs/base/softassert.h
@@ -0,0 +1,19 @@
+// Soft assertions: a broken assumption is logged with file and line, then a stated action follows.
+// With EP_SOFT_ASSERT=abort in the environment, as in tests, the process aborts instead.
+#pragma once
+
+namespace Base {
+
+void reportSoftAssert(const char *condition, const char *file, int line);
+
+} // namespace Base
+
+/// Checks \a cond; if it is false, reports it and executes \a action (return, continue, ...).
+#define EP_ASSERT(cond, action) \
+    if (cond) [[likely]] { \
+    } else { \
+        ::Base::reportSoftAssert(#cond, __FILE__, __LINE__); \
+        action; \
+    } \
+    do { \
+    } while (0)
--- /dev/null
+++ b/src/libs/platform/shardrow.h
@@ -0,0 +1,39 @@
+// The table row that states who owns a shard and who may take it over.
+#pragma once
+
+#include <base/ids.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Platform {
+
+/// A daemon that held every record of the shard when the row was written.
+struct Replica
+{
+    Base::DaemonId daemon;
+    Base::Incarnation incarnation;
+
+    bool operator==(const Replica &) const = default;
+};
+
+/// Content of the row `shard/<domain>/<index>`.
+struct ShardRow
+{
+    Base::Epoch epoch;
+    Base::DaemonId owner;
+    std::vector<Replica> replicas; // contains the owner
+
+    bool operator==(const ShardRow &) const = default;
+
+    const Replica *findReplica(const Base::DaemonId &daemon) const;
+};
+
+std::string shardRowKey(const Base::ShardId &shard);
+std::string encodeShardRow(const ShardRow &row);
+/// Returns nothing for text that is not a shard row.
+std::optional<ShardRow> decodeShardRow(std::string_view text);
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/settings/daemonsettings.h
@@ -0,0 +1,82 @@
+// Settings of one endivepathd.
+#pragma once
+
+#include "faultlist.h"
+
+#include <base/ids.h>
+#include <base/log.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Settings {
+
+/// An IP address and a TCP port.
+struct Endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+struct PeerSettings
+{
+    Base::DaemonId daemon;
+    Base::FailureDomainId domain;
+    Endpoint endpoint;
+
+    bool operator==(const PeerSettings &) const = default;
+};
+
+/// Bounds of what callers can make the daemon hold.
+struct LimitSettings
+{
+    std::uint32_t maxBodyBytes = 8U << 20;
+    std::uint32_t maxHeaderBytes = 16U << 10;
+    std::uint32_t maxCallerConnections = 1000;
+    std::uint32_t maxConcurrentJobs = 2000;
+    std::uint32_t maxTasksPerJob = 2000;
+    std::uint32_t maxQueuedTasks = 200'000;
+    std::uint64_t maxRecordBytes = 128ULL << 20; // all records held, of owned and replicated shards
+    std::chrono::seconds retention{600};         // of outcomes
+
+    bool operator==(const LimitSettings &) const = default;
+};
+
+struct DrainSettings
+{
+    std::chrono::milliseconds notice{2000};  // from unreadiness to refusing new submissions
+    std::chrono::milliseconds grace{30'000}; // after that, at most this long for work in flight
+
+    bool operator==(const DrainSettings &) const = default;
+};
+
+struct DaemonSettings
+{
+    Base::DaemonId daemon;
+    Base::FailureDomainId domain;
+    Endpoint callers;
+    Endpoint operators;
+    std::string operatorToken;
+    Endpoint peerEndpoint;
+    std::string peerKey;             // shared secret of all daemons
+    std::vector<PeerSettings> peers; // all other daemons of the deployment
+    std::string platformUrl;         // http://address:port
+    std::chrono::milliseconds platformTimeout{2000};
+    LimitSettings limits;
+    DrainSettings drain;
+    Base::LogLevel logLevel = Base::LogLevel::Info;
+
+    bool operator==(const DaemonSettings &) const = default;
+};
+
+/// Parses and checks \a text, JSON with comments. Adds every fault to \a faults: unknown keys,
+/// wrong types, missing members and values out of range. Returns nothing if there is any.
+std::optional<DaemonSettings> parseDaemonSettings(std::string_view text, FaultList &faults);
+
+} // namespace Settings
--- /dev/null
+++ b/src/libs/wire/peerport.h
@@ -0,0 +1,41 @@
+// How the parts of a daemon send messages to other daemons.
+#pragma once
+
+#include "messages.h"
+
+#include <base/ids.h>
+
+namespace Wire {
+
+/// Identity of the daemon that sent a message.
+struct PeerIdentity
+{
+    Base::DaemonId daemon;
+    Base::FailureDomainId domain;
+    Base::Incarnation incarnation;
+};
+
+class PeerPort
+{
+public:
+    virtual ~PeerPort() = default;
+
+    /// Queues \a message for \a peer. Messages may be lost, never altered; between two losses they
+    /// arrive in order. Returns false if there is no connection or its send queue is full, and then
+    /// the message is certainly not sent.
+    virtual bool send(const Base::DaemonId &peer, const Message &message) = 0;
+    /// Whether a connection to \a peer is up.
+    virtual bool isConnected(const Base::DaemonId &peer) const = 0;
+};
+
+/// Receives messages of one or more types.
+class PeerListener
+{
+public:
+    virtual ~PeerListener() = default;
+
+    virtual void peerMessageReceived(const PeerIdentity &from, const Message &message) = 0;
+    virtual void peerDisconnected(const PeerIdentity &) {}
+};
+
+} // namespace Wire
