Http: server on RESTinio and client on libcurl, on one Asio loop

Cause: callers, operators, upstreams and the platform are reached over HTTP, and a thread per request does not reach the target rate.

Change: a bounded server and a client over curl's multi interface. The client tells a request of which no byte was sent (peerUnreachable) from one that may have been received (fateUnknown).

Found on the way: libcurl repeats a request by itself when a kept-alive connection closes without an answer. For a task start that is a double start. Requests marked non-idempotent send their body through a read callback without a seek callback, so that curl fails instead.

Ruled out: CURLOPT_FORBID_REUSE and a fresh connection for each start (a handshake more for each task); RESTinio's express router (a regular expression for each request for a handful of routes).

Conclusion: the client never repeats a start on its own.

--- /dev/null
+++ b/src/libs/http/client.cpp
@@ -0,0 +1,358 @@
+// libcurl's multi interface driven by an Asio loop: curl names the sockets and the timeout that it
+// waits for, the loop waits and reports back.
+#include "client.h"
+
+#include "httpconstants.h"
+
+#include <base/failure.h>
+#include <base/softassert.h>
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Http {
+
+using Base::FailureCode;
+using Base::makeFailure;
+
+struct Transfer
+{
+    std::uint64_t id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    std::string requestBody;
+    std::size_t bodyOffset = 0; // bytes of requestBody already handed to curl
+    std::string responseBody;
+    ResponseHandler handler;
+};
+
+/// A socket that curl waits for.
+struct WatchedSocket
+{
+    explicit WatchedSocket(asio::io_context &io, int fd)
+        : descriptor(io, fd)
+    {}
+
+    asio::posix::stream_descriptor descriptor;
+    int interest = CURL_POLL_NONE;
+    bool isReadArmed = false;
+    bool isWriteArmed = false;
+};
+
+struct Client::Private
+{
+    Private(asio::io_context &ioContext, long maxConnectionsPerHost);
+    ~Private();
+
+    static int socketCallback(CURL *, curl_socket_t fd, int what, void *user, void *)
+    {
+        static_cast<Private *>(user)->watchSocket(fd, what);
+        return 0;
+    }
+    static int timerCallback(CURLM *, long milliseconds, void *user)
+    {
+        static_cast<Private *>(user)->setTimeout(milliseconds);
+        return 0;
+    }
+
+    void watchSocket(curl_socket_t fd, int what);
+    void arm(curl_socket_t fd, std::uint64_t generation);
+    void socketReady(curl_socket_t fd, std::uint64_t generation, int event);
+    void setTimeout(long milliseconds);
+    void driveSocket(curl_socket_t fd, int event);
+    void finishTransfers();
+    void finishTransfer(CURL *easy, CURLcode code);
+    void release(Transfer &transfer);
+    CURL *takeHandle();
+    static void configure(Transfer &transfer, const ClientRequest &request);
+
+    asio::io_context &io;
+    asio::steady_timer timer;
+    std::uint64_t timerGeneration = 0;
+    CURLM *multi = nullptr;
+    std::uint64_t lastId = 0;
+    std::uint64_t lastGeneration = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> transfers;
+    // The generation tells a reused descriptor number from the one a stale wait was set for.
+    std::unordered_map<curl_socket_t, std::pair<std::uint64_t, std::unique_ptr<WatchedSocket>>>
+        sockets;
+    std::vector<CURL *> idleHandles;
+    // Handlers of a destroyed client must not run; loop callbacks hold this.
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+};
+
+static std::size_t writeCallback(char *data, std::size_t, std::size_t n, void *user)
+{
+    static_cast<Transfer *>(user)->responseBody.append(data, n);
+    return n;
+}
+
+static std::size_t readCallback(char *buf, std::size_t size, std::size_t count, void *user)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const std::size_t n =
+        std::min(size * count, transfer->requestBody.size() - transfer->bodyOffset);
+    std::copy_n(transfer->requestBody.data() + transfer->bodyOffset, n, buf);
+    transfer->bodyOffset += n;
+    return n;
+}
+
+Client::Private::Private(asio::io_context &ioContext, long maxConnectionsPerHost)
+    : io(ioContext)
+    , timer(ioContext)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi = curl_multi_init();
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, socketCallback);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, timerCallback);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, maxConnectionsPerHost);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, Constants::MAX_CACHED_CONNECTIONS);
+    curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+Client::Private::~Private()
+{
+    *isAlive = false;
+    for (auto &it : transfers) {
+        curl_multi_remove_handle(multi, it.second->easy);
+        curl_easy_cleanup(it.second->easy);
+        curl_slist_free_all(it.second->headers);
+    }
+    for (CURL *it : idleHandles)
+        curl_easy_cleanup(it);
+    curl_multi_cleanup(multi);
+    for (auto &it : sockets)
+        it.second.second->descriptor.release();
+}
+
+void Client::Private::watchSocket(curl_socket_t fd, int what)
+{
+    const auto it = sockets.find(fd);
+    if (what == CURL_POLL_REMOVE) {
+        if (it == sockets.end())
+            return;
+        // curl owns and closes the descriptor.
+        it->second.second->descriptor.release();
+        sockets.erase(it);
+        return;
+    }
+    if (it == sockets.end()) {
+        sockets.emplace(fd, std::pair(++lastGeneration, std::make_unique<WatchedSocket>(io, fd)));
+    }
+    auto &[generation, socket] = sockets.at(fd);
+    socket->interest = what;
+    arm(fd, generation);
+}
+
+void Client::Private::arm(curl_socket_t fd, std::uint64_t generation)
+{
+    const auto it = sockets.find(fd);
+    if (it == sockets.end() || it->second.first != generation)
+        return;
+    WatchedSocket &socket = *it->second.second;
+    if ((socket.interest & CURL_POLL_IN) && !socket.isReadArmed) {
+        socket.isReadArmed = true;
+        socket.descriptor.async_wait(
+            asio::posix::stream_descriptor::wait_read,
+            [this, alive = isAlive, fd, generation](const asio::error_code &ec) {
+                if (*alive && !ec)
+                    socketReady(fd, generation, CURL_CSELECT_IN);
+            });
+    }
+    if ((socket.interest & CURL_POLL_OUT) && !socket.isWriteArmed) {
+        socket.isWriteArmed = true;
+        socket.descriptor.async_wait(
+            asio::posix::stream_descriptor::wait_write,
+            [this, alive = isAlive, fd, generation](const asio::error_code &ec) {
+                if (*alive && !ec)
+                    socketReady(fd, generation, CURL_CSELECT_OUT);
+            });
+    }
+}
+
+void Client::Private::socketReady(curl_socket_t fd, std::uint64_t generation, int event)
+{
+    const auto it = sockets.find(fd);
+    if (it == sockets.end() || it->second.first != generation)
+        return;
+    WatchedSocket &socket = *it->second.second;
+    const bool isRead = event == CURL_CSELECT_IN;
+    (isRead ? socket.isReadArmed : socket.isWriteArmed) = false;
+    if (socket.interest & (isRead ? CURL_POLL_IN : CURL_POLL_OUT))
+        driveSocket(fd, event);
+    arm(fd, generation);
+}
+
+void Client::Private::setTimeout(long milliseconds)
+{
+    const std::uint64_t generation = ++timerGeneration;
+    timer.cancel();
+    if (milliseconds < 0)
+        return;
+    timer.expires_after(std::chrono::milliseconds(milliseconds));
+    timer.async_wait([this, alive = isAlive, generation](const asio::error_code &ec) {
+        if (*alive && !ec && generation == timerGeneration)
+            driveSocket(CURL_SOCKET_TIMEOUT, 0);
+    });
+}
+
+void Client::Private::driveSocket(curl_socket_t fd, int event)
+{
+    int running = 0;
+    curl_multi_socket_action(multi, fd, event, &running);
+    finishTransfers();
+}
+
+void Client::Private::finishTransfers()
+{
+    int remaining = 0;
+    while (const CURLMsg *message = curl_multi_info_read(multi, &remaining)) {
+        if (message->msg == CURLMSG_DONE)
+            finishTransfer(message->easy_handle, message->data.result);
+    }
+}
+
+static absl::Status transferStatus(CURL *easy, CURLcode code)
+{
+    if (code == CURLE_OK)
+        return absl::OkStatus();
+    long requestBytes = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    const FailureCode failure =
+        requestBytes == 0 ? FailureCode::PeerUnreachable : FailureCode::FateUnknown;
+    return makeFailure(failure, curl_easy_strerror(code));
+}
+
+void Client::Private::finishTransfer(CURL *easy, CURLcode code)
+{
+    Transfer *owner = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &owner);
+    EP_ASSERT(owner, return );
+    const auto it = transfers.find(owner->id);
+    EP_ASSERT(it != transfers.end(), return );
+    const std::unique_ptr<Transfer> transfer = std::move(it->second);
+    transfers.erase(it);
+    ClientResponse response;
+    response.status = transferStatus(easy, code);
+    if (response.status.ok()) {
+        long httpStatus = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &httpStatus);
+        response.httpStatus = static_cast<int>(httpStatus);
+        response.body = std::move(transfer->responseBody);
+    }
+    curl_multi_remove_handle(multi, easy);
+    const ResponseHandler handler = std::move(transfer->handler);
+    release(*transfer);
+    handler(std::move(response));
+}
+
+void Client::Private::release(Transfer &transfer)
+{
+    curl_slist_free_all(transfer.headers);
+    transfer.headers = nullptr;
+    if (idleHandles.size() < Constants::MAX_IDLE_HANDLES) {
+        curl_easy_reset(transfer.easy);
+        idleHandles.push_back(transfer.easy);
+    } else {
+        curl_easy_cleanup(transfer.easy);
+    }
+    transfer.easy = nullptr;
+}
+
+CURL *Client::Private::takeHandle()
+{
+    if (idleHandles.empty())
+        return curl_easy_init();
+    CURL *easy = idleHandles.back();
+    idleHandles.pop_back();
+    return easy;
+}
+
+void Client::Private::configure(Transfer &transfer, const ClientRequest &request)
+{
+    CURL *easy = transfer.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(
+        easy, CURLOPT_TIMEOUT_MS,
+        static_cast<long>(std::max<std::int64_t>(1, Base::toMilliseconds(request.timeout))));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(Constants::CONNECT_TIMEOUT_MS.count()));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, writeCallback);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    transfer.headers = curl_slist_append(nullptr, "Content-Type: application/json");
+    transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+    if (!request.authorization.empty()) {
+        transfer.headers = curl_slist_append(transfer.headers,
+                                             ("Authorization: " + request.authorization).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+    if (request.method == "GET")
+        return;
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(transfer.requestBody.size()));
+    if (request.idempotent) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer.requestBody.c_str());
+        return;
+    }
+    // curl silently repeats a request whose reused connection closes without an answer, unless it
+    // would have to rewind a body that it can't rewind. A read callback without a seek callback
+    // makes it fail instead.
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, readCallback);
+    curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
+}
+
+Client::Client(asio::io_context &io, long maxConnectionsPerHost)
+    : m_d(std::make_unique<Private>(io, maxConnectionsPerHost))
+{}
+
+Client::~Client() = default;
+
+ClientRequestId Client::send(ClientRequest request, ResponseHandler handler)
+{
+    const std::uint64_t id = ++m_d->lastId;
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = id;
+    transfer->easy = m_d->takeHandle();
+    transfer->requestBody = std::move(request.body);
+    transfer->handler = std::move(handler);
+    Private::configure(*transfer, request);
+    CURL *easy = transfer->easy;
+    m_d->transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_d->multi, easy);
+    return ClientRequestId(id);
+}
+
+void Client::cancel(ClientRequestId id)
+{
+    const auto it = m_d->transfers.find(id.value());
+    if (it == m_d->transfers.end())
+        return;
+    const std::unique_ptr<Transfer> transfer = std::move(it->second);
+    m_d->transfers.erase(it);
+    curl_multi_remove_handle(m_d->multi, transfer->easy);
+    m_d->release(*transfer);
+}
+
+std::size_t Client::pendingCount() const
+{
+    return m_d->transfers.size();
+}
+
+} // namespace Http
--- /dev/null
+++ b/tests/auto/http/tst_http.cpp
@@ -0,0 +1,200 @@
+// Tests of the HTTP library on loopback.
+#include <base/failure.h>
+#include <http/client.h>
+#include <http/server.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+using namespace Http;
+
+static std::uint16_t freePort(asio::io_context &io)
+{
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+static std::string urlOf(std::uint16_t port, const std::string &path)
+{
+    return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+static ServerOptions optionsFor(std::uint16_t port)
+{
+    ServerOptions options;
+    options.address = "127.0.0.1";
+    options.port = port;
+    options.maxBodyBytes = 1000;
+    return options;
+}
+
+// Guards against lost fields on the way through server and client.
+BOOST_AUTO_TEST_CASE(requestsReachTheHandler)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    Server server(io, optionsFor(port), [](Request request, const Respond &respond) {
+        BOOST_TEST(request.matches("POST", {"v1", "*", "x y"}));
+        BOOST_TEST(request.parameter("waitMs") == "5");
+        respond({201, request.body + request.authorization, "text/plain", 0});
+    });
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    int answers = 0;
+    for (const bool idempotent : {true, false}) {
+        ClientRequest request;
+        request.method = "POST";
+        request.url = urlOf(port, "/v1/a%2Fb/x%20y?waitMs=5");
+        request.body = "body";
+        request.authorization = "Bearer t";
+        request.idempotent = idempotent;
+        client.send(request, [&](const ClientResponse &response) {
+            BOOST_TEST(response.status.ok());
+            BOOST_TEST(response.httpStatus == 201);
+            BOOST_TEST(response.body == "bodyBearer t");
+            if (++answers == 2)
+                io.stop();
+        });
+    }
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST(answers == 2);
+}
+
+// Guards against bodies over the limit reaching the handler.
+BOOST_AUTO_TEST_CASE(oversizedBodiesAreRefused)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    bool isHandled = false;
+    Server server(io, optionsFor(port), [&](const Request &, const Respond &respond) {
+        isHandled = true;
+        respond({});
+    });
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    ClientRequest request;
+    request.method = "POST";
+    request.url = urlOf(port, "/");
+    request.body.assign(2000, 'x');
+    bool isAnswered = false;
+    client.send(request, [&](const ClientResponse &response) {
+        isAnswered = true;
+        BOOST_TEST((!response.status.ok() || response.httpStatus >= 400));
+        io.stop();
+    });
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST(isAnswered);
+    BOOST_TEST(!isHandled);
+}
+
+// Guards against a refused connection being reported as a request of unknown fate.
+BOOST_AUTO_TEST_CASE(refusedConnectionIsCertainlyNotSent)
+{
+    asio::io_context io;
+    Client client(io, 4);
+    ClientRequest request;
+    request.method = "POST";
+    request.url = urlOf(freePort(io), "/");
+    Base::FailureCode code = Base::FailureCode::None;
+    client.send(request, [&](const ClientResponse &response) {
+        code = Base::failureCode(response.status);
+        io.stop();
+    });
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST((code == Base::FailureCode::PeerUnreachable));
+}
+
+/// A server that answers the first request of each connection and closes on the second.
+class ClosingServer
+{
+public:
+    ClosingServer(asio::io_context &io, std::uint16_t port)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), port})
+    {
+        accept();
+    }
+
+    int requestCount() const { return m_requestCount; }
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::ip::tcp::socket s)
+            : socket(std::move(s))
+        {}
+
+        asio::ip::tcp::socket socket;
+        asio::streambuf buf;
+        int requestCount = 0;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            read(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        asio::async_read_until(connection->socket, connection->buf, "start-task",
+                               [this, connection](const asio::error_code &ec, std::size_t n) {
+                                   if (ec)
+                                       return;
+                                   connection->buf.consume(n);
+                                   ++m_requestCount;
+                                   if (++connection->requestCount > 1)
+                                       return; // closes the connection
+                                   answer(connection);
+                               });
+    }
+
+    void answer(const std::shared_ptr<Connection> &connection)
+    {
+        static const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        asio::async_write(connection->socket, asio::buffer(response),
+                          [this, connection](const asio::error_code &ec, std::size_t) {
+                              if (!ec)
+                                  read(connection);
+                          });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_requestCount = 0;
+};
+
+// Guards against libcurl repeating a start whose reused connection was closed without an answer:
+// the worker may have started the task, and would start it twice.
+BOOST_AUTO_TEST_CASE(nonIdempotentRequestIsSentOnce)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    ClosingServer server(io, port);
+    Client client(io, 4);
+    ClientRequest request;
+    request.method = "POST";
+    request.url = urlOf(port, "/");
+    request.body = "start-task";
+    request.idempotent = false;
+    Base::FailureCode code = Base::FailureCode::None;
+    client.send(request, [&](const ClientResponse &first) {
+        BOOST_TEST(first.status.ok());
+        client.send(request, [&](const ClientResponse &second) {
+            code = Base::failureCode(second.status);
+            io.stop();
+        });
+    });
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST((code == Base::FailureCode::FateUnknown));
+    BOOST_TEST(server.requestCount() == 2);
+}
