--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -1,5 +1,6 @@
 // Strong types for identifiers and counters. An identifier of one kind can't be passed where
 // another kind is expected.
+// clang-tidy 14 takes the literal zero in a defaulted operator<=> for a null pointer, hence NOLINT.
 #pragma once
 
 #include <compare>
@@ -25,7 +26,7 @@
     const std::string &value() const { return m_value; }
     bool isEmpty() const { return m_value.empty(); }
 
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr)
 
     friend std::ostream &operator<<(std::ostream &out, const Id &id) { return out << id.m_value; }
 
@@ -46,7 +47,7 @@
     constexpr std::uint64_t value() const { return m_value; }
     constexpr Number next() const { return Number(m_value + 1); }
 
-    constexpr auto operator<=>(const Number &) const = default;
+    constexpr auto operator<=>(const Number &) const = default; // NOLINT(modernize-use-nullptr)
 
     friend std::ostream &operator<<(std::ostream &out, const Number &n) { return out << n.m_value; }
 
@@ -76,7 +77,7 @@
     TeamId team;
     RequestKey key;
 
-    auto operator<=>(const RequestId &) const = default;
+    auto operator<=>(const RequestId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A shard of the key space. It lives in its home failure domain and never moves to another one.
@@ -85,7 +86,7 @@
     FailureDomainId domain;
     ShardIndex index;
 
-    auto operator<=>(const ShardId &) const = default;
+    auto operator<=>(const ShardId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace Base
--- a/src/libs/settings/faultlist.h
+++ b/src/libs/settings/faultlist.h
@@ -18,7 +18,7 @@
     std::string message; // what is wrong and what is expected
 };
 
-/// Faults in the order of the file.
+/// Faults in the order in which they were found.
 class FaultList
 {
 public:
