Jobs: records, replication, coordinator and recovery; stand-ins

Cause: requests need an owner that runs them at most once and decides one outcome, and stand-ins to run against.

Change: the jobs library (record store, replicator, task runner that resolves starts of unknown fate, shard recovery, coordinator) against abstract interfaces, and the stand-ins of the platform and of the workers.

Ruled out: replicating each assignment of a task to a worker (one message for each task; fencing the workers after a takeover answers the same question); answering callers from a replica's copy of an outcome (it may not have reached all replicas, so a later owner could decide otherwise).

Conclusion: the frame of the state machine stands; nothing is proved yet.

--- /dev/null
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -0,0 +1,352 @@
+// What follows from changes of ownership: recovery after a takeover, replicas, hand-over.
+#include "coordinator.h"
+
+#include "jobsconstants.h"
+
+#include <base/log.h>
+#include <base/softassert.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Jobs {
+
+using Base::FailureCode;
+using Base::makeFailure;
+
+std::vector<Base::UpstreamId> Coordinator::domainUpstreams() const
+{
+    std::vector<Base::UpstreamId> upstreams;
+    if (!m_manifest)
+        return upstreams;
+    for (const auto &[id, upstream] : m_manifest->upstreams) {
+        if (upstream.domain == m_context.domain)
+            upstreams.push_back(id);
+    }
+    return upstreams;
+}
+
+void Coordinator::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch)
+{
+    if (m_context.authority.hasCompleteKnowledge(shard))
+        m_incompleteSince.erase(shard);
+    else
+        m_incompleteSince[shard] = m_context.timers.now();
+    bool hasUndecided = false;
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
+        JobRecord &record = *m_store.find(id);
+        EP_ASSERT(record.phase == RecordPhase::Replica || record.phase == RecordPhase::Decided,
+                  continue);
+        record.epoch = epoch;
+        if (record.phase == RecordPhase::Decided)
+            continue;
+        if (record.outcome) {
+            // The former owner may have been unable to replicate it everywhere.
+            record.expiresAt.reset();
+            activate(record, RecordPhase::Deciding);
+            m_replicator.replicate(shard, epoch, {encodeRecord(record, Base::Duration(0), false)},
+                                   [this, id, epoch] { outcomeReplicated(id, epoch); });
+            continue;
+        }
+        hasUndecided = true;
+        record.expiresAt.reset();
+        activate(record, RecordPhase::Recovering);
+        record.isStartUncertain = true;
+        record.startedCount = 0;
+        record.finishedCount = 0;
+        record.tasks.assign(record.payloads.size(), {});
+        armDeadline(record);
+    }
+    if (hasUndecided)
+        startRecovery(shard, epoch);
+}
+
+void Coordinator::startRecovery(Base::ShardIndex shard, Base::Epoch epoch)
+{
+    const Base::ShardId shardId{m_context.domain, shard};
+    m_context.observer.recoveryStarted(shardId, epoch);
+    auto recovery = std::make_unique<ShardRecovery>(
+        m_context.timers, m_context.workers, shardId, epoch, domainUpstreams(),
+        [this, shard, epoch](const Base::UpstreamId &upstream, const TaskReport &report) {
+            taskReported(shard, epoch, upstream, report);
+        },
+        [this, shard, epoch](const std::vector<Base::UpstreamId> &uncertain) {
+            recoveryDone(shard, epoch, uncertain);
+        });
+    ShardRecovery &started = *recovery;
+    m_recoveries[shard] = std::move(recovery);
+    started.start();
+}
+
+/// Splits "<team>/<key>#<index>"; returns false for anything else.
+static bool parseTaskName(const TaskName &name, Base::RequestId &request, std::size_t &index)
+{
+    const std::string &text = name.value();
+    const std::size_t slash = text.find('/');
+    const std::size_t hash = text.rfind('#');
+    if (slash == std::string::npos || hash == std::string::npos || hash < slash)
+        return false;
+    request = {Base::TeamId(text.substr(0, slash)),
+               Base::RequestKey(text.substr(slash + 1, hash - slash - 1))};
+    const char *end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data() + hash + 1, end, index);
+    return ec == std::errc() && rest == end;
+}
+
+void Coordinator::taskReported(Base::ShardIndex shard, Base::Epoch epoch,
+                               const Base::UpstreamId &upstream, const TaskReport &report)
+{
+    Base::RequestId id;
+    std::size_t index = 0;
+    if (!parseTaskName(report.task, id, index))
+        return;
+    JobRecord *record = findActive(id, epoch);
+    if (!record || record->shard.index != shard || record->phase != RecordPhase::Recovering
+        || index >= record->tasks.size())
+        return;
+    TaskEntry &task = record->tasks[index];
+    if (report.state == TaskState::NotStarted) {
+        task.excluded.push_back(upstream);
+        return;
+    }
+    if (report.state == TaskState::Unknown)
+        return;
+    if (task.phase != TaskPhase::Waiting) {
+        Base::log(Base::LogLevel::Error, "taskReportedTwice",
+                  {{"task", report.task}, {"upstream", upstream}, {"other", task.upstream}});
+        decideFailure(*record, FailureCode::Internal, "two upstreams report the same task");
+        return;
+    }
+    task.phase = TaskPhase::Started;
+    task.upstream = upstream;
+    ++record->startedCount;
+    if (report.state == TaskState::Running) {
+        attachTask(*record, index, upstream);
+        return;
+    }
+    TaskEnd end;
+    end.kind = report.state == TaskState::Done     ? TaskEndKind::Succeeded
+               : report.state == TaskState::Failed ? TaskEndKind::Failed
+                                                   : TaskEndKind::Stopped;
+    end.result = report.result;
+    applyTaskEnd(*record, index, end);
+}
+
+void Coordinator::attachTask(JobRecord &record, std::size_t index, const Base::UpstreamId &upstream)
+{
+    m_runner.attach(
+        upstream, taskName(record.id, index), record.deadline + Constants::RESOLVE_MARGIN_MS,
+        [this, alive = m_isAlive, id = record.id, index, epoch = record.epoch](const TaskEnd &end) {
+            if (!*alive)
+                return;
+            JobRecord *attached = findActive(id, epoch);
+            if (attached && attached->isUndecided())
+                applyTaskEnd(*attached, index, end);
+        });
+}
+
+void Coordinator::recoveryDone(Base::ShardIndex shard, Base::Epoch epoch,
+                               const std::vector<Base::UpstreamId> &uncertain)
+{
+    m_recoveries.erase(shard);
+    m_context.observer.recoveryFinished({m_context.domain, shard}, epoch);
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
+        JobRecord *record = findActive(id, epoch);
+        if (record && record->phase == RecordPhase::Recovering)
+            resumeRecovered(*record, uncertain);
+    }
+}
+
+bool Coordinator::mayServe(const Manifest::Kind &kind, const Base::UpstreamId &upstream) const
+{
+    const auto it = m_manifest->upstreams.find(upstream);
+    if (it == m_manifest->upstreams.end())
+        return true;
+    const auto &groups = kind.upstreamGroups;
+    return std::find(groups.begin(), groups.end(), it->second.group) != groups.end();
+}
+
+void Coordinator::resumeRecovered(JobRecord &record, const std::vector<Base::UpstreamId> &uncertain)
+{
+    const Manifest::Kind *kind = findKind(record.kind);
+    const bool isUncertain =
+        !kind || std::any_of(uncertain.begin(), uncertain.end(), [&](const Base::UpstreamId &it) {
+            return mayServe(*kind, it);
+        });
+    const bool hasWaiting = record.startedCount < record.tasks.size();
+    if (hasWaiting && isUncertain) {
+        decideFailure(record, FailureCode::WorkerLost,
+                      "after a takeover, a worker that may have started a task did not answer");
+        return;
+    }
+    // Every worker has answered and refuses older orders, so what none reports has not started.
+    record.isStartUncertain = false;
+    record.phase = RecordPhase::Running;
+    const Base::RequestId id = record.id;
+    const Base::Epoch epoch = record.epoch;
+    const std::size_t n = record.tasks.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        JobRecord *current = findActive(id, epoch);
+        if (!current || current->phase != RecordPhase::Running)
+            return;
+        if (current->tasks[i].phase == TaskPhase::Waiting)
+            enqueueTask(*current, i);
+    }
+}
+
+void Coordinator::holdShard(Base::ShardIndex shard)
+{
+    m_heldShards.insert({m_context.domain, shard});
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
+        JobRecord &record = *m_store.find(id);
+        if (record.phase != RecordPhase::Running && record.phase != RecordPhase::Accepting)
+            continue;
+        record.phase = RecordPhase::Accepting;
+        withdrawWaitingTasks(record);
+    }
+}
+
+void Coordinator::resumeShard(Base::ShardIndex shard)
+{
+    if (m_heldShards.erase({m_context.domain, shard}) == 0)
+        return;
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard}))
+        begin(id, m_store.find(id)->epoch);
+}
+
+void Coordinator::shardLost(Base::ShardIndex shard)
+{
+    m_heldShards.erase({m_context.domain, shard});
+    m_recoveries.erase(shard);
+    m_replicator.shardLost(shard);
+    m_incompleteSince.erase(shard);
+    const Reply reply{makeFailure(FailureCode::NotOwner, "the shard has another owner"), {}};
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
+        JobRecord &record = *m_store.find(id);
+        if (record.phase == RecordPhase::Replica || record.phase == RecordPhase::Decided)
+            continue;
+        withdrawWaitingTasks(record);
+        deactivate(record);
+        record.phase = RecordPhase::Replica;
+        record.tasks.clear();
+        m_store.updateSize(record);
+        m_store.setExpiry(record, record.deadline + m_limits.retention);
+        notifyWaiters(record, reply);
+    }
+}
+
+void Coordinator::requiredReplicasChanged(Base::ShardIndex shard)
+{
+    m_replicator.requiredReplicasChanged(shard);
+}
+
+std::vector<std::string> Coordinator::encodedRecords(const Base::ShardId &shard)
+{
+    std::vector<std::string> records;
+    const Base::TimePoint now = m_context.timers.now();
+    for (const Base::RequestId &id : m_store.idsOfShard(shard)) {
+        const JobRecord &record = *m_store.find(id);
+        records.push_back(encodeRecord(record, record.deadline - now, true));
+    }
+    return records;
+}
+
+void Coordinator::replicaJoinWanted(Base::ShardIndex shard, const Base::DaemonId &daemon,
+                                    Base::Incarnation incarnation)
+{
+    const auto epoch = m_context.authority.leasedEpoch(shard);
+    if (!epoch || m_replicator.isJoining(shard, daemon))
+        return;
+    std::vector<std::vector<std::string>> chunks;
+    for (std::string &it : encodedRecords({m_context.domain, shard})) {
+        if (chunks.empty() || chunks.back().size() >= Constants::SNAPSHOT_CHUNK_RECORDS)
+            chunks.emplace_back();
+        chunks.back().push_back(std::move(it));
+    }
+    m_replicator.copyTo(
+        shard, *epoch, daemon, std::move(chunks), [this, shard, daemon, incarnation] {
+            m_context.authority.addReplica(
+                shard, daemon, incarnation, [this, shard, daemon](const absl::Status &status) {
+                    if (!status.ok()) {
+                        Base::log(Base::LogLevel::Warning, "replicaNotAdded",
+                                  {{"shard", shard},
+                                   {"replica", daemon},
+                                   {"reason", Base::failureMessage(status)}});
+                    }
+                    m_replicator.endJoin(shard, daemon);
+                });
+        });
+}
+
+void Coordinator::recordsReceived(const Wire::PeerIdentity &from, const Wire::Replicate &message)
+{
+    const Base::ShardIndex shard(message.shard);
+    const Base::Epoch epoch(message.epoch);
+    Wire::ReplicateAck ack{message.shard, message.epoch, message.sequence, true};
+    if (from.domain != m_context.domain
+        || !m_context.authority.acceptsReplication(shard, epoch, from)) {
+        ack.accepted = false;
+        ack.epoch = m_context.authority.highestKnownEpoch(shard).value();
+        m_context.peers.send(from.daemon, ack);
+        return;
+    }
+    for (const std::string &it : message.records) {
+        auto record = decodeRecord(it, m_context.domain, m_context.timers.now());
+        EP_ASSERT(record && record->shard.index == shard, continue);
+        record->epoch = epoch;
+        storeReplica(std::move(*record));
+    }
+    if (message.snapshotEnd)
+        dropOlderReplicas({m_context.domain, shard}, epoch);
+    m_context.peers.send(from.daemon, ack);
+}
+
+void Coordinator::storeReplica(JobRecord record)
+{
+    JobRecord *known = m_store.find(record.id);
+    if (known && known->isLocal())
+        return;
+    EP_ASSERT(!known || known->phase == RecordPhase::Replica
+                  || known->phase == RecordPhase::Decided,
+              return );
+    if (known && known->phase == RecordPhase::Decided) {
+        // Published outcomes are final; the new owner has the same one.
+        known->epoch = std::max(known->epoch, record.epoch);
+        return;
+    }
+    if (known && known->epoch == record.epoch) {
+        // A resent record must not undo the outcome that followed it.
+        if (known->outcome)
+            return;
+        if (record.outcome && record.payloads.empty()) {
+            known->outcome = std::move(record.outcome);
+            known->decidedAt = record.decidedAt;
+            known->payloads.clear();
+            m_store.updateSize(*known);
+            m_store.setExpiry(*known, known->decidedAt + m_limits.retention);
+            return;
+        }
+    }
+    JobRecord &stored = m_store.put(std::move(record));
+    // Without news from an owner, an undecided replica is kept for retention after its deadline.
+    m_store.setExpiry(stored,
+                      (stored.outcome ? stored.decidedAt : stored.deadline) + m_limits.retention);
+}
+
+void Coordinator::dropOlderReplicas(const Base::ShardId &shard, Base::Epoch epoch)
+{
+    for (const Base::RequestId &id : m_store.idsOfShard(shard)) {
+        const JobRecord &record = *m_store.find(id);
+        if (record.phase == RecordPhase::Replica && record.epoch < epoch)
+            m_store.erase(id);
+    }
+}
+
+void Coordinator::acknowledgementReceived(const Wire::PeerIdentity &from,
+                                          const Wire::ReplicateAck &ack)
+{
+    m_replicator.acknowledgementReceived(from, ack);
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/shardauthority.h
@@ -0,0 +1,40 @@
+// What the jobs library needs to know of the ownership of shards.
+#pragma once
+
+#include <absl/status/status.h>
+#include <base/ids.h>
+#include <wire/peerport.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace Jobs {
+
+/// The ownership of the shards of this daemon's failure domain.
+class ShardAuthority
+{
+public:
+    using Callback = std::function<void(const absl::Status &)>;
+
+    virtual ~ShardAuthority() = default;
+
+    /// The epoch under which this daemon owns \a shard with a lease that is valid at this moment.
+    virtual std::optional<Base::Epoch> leasedEpoch(Base::ShardIndex shard) const = 0;
+    /// Whether this daemon knows every request that the shard ever accepted within retention.
+    virtual bool hasCompleteKnowledge(Base::ShardIndex shard) const = 0;
+    /// Daemons that must acknowledge a record of the shard.
+    virtual std::vector<Base::DaemonId> requiredReplicas(Base::ShardIndex shard) const = 0;
+
+    /// Whether this daemon may take records of \a shard from \a from under \a epoch.
+    virtual bool acceptsReplication(Base::ShardIndex shard, Base::Epoch epoch,
+                                    const Wire::PeerIdentity &from) = 0;
+    virtual Base::Epoch highestKnownEpoch(Base::ShardIndex shard) const = 0;
+    /// Someone has seen \a knownEpoch, which is newer than ours: the shard stops at once.
+    virtual void ownershipRefused(Base::ShardIndex shard, Base::Epoch knownEpoch) = 0;
+    /// Lists \a daemon, which holds a copy of all records now, as a replica.
+    virtual void addReplica(Base::ShardIndex shard, const Base::DaemonId &daemon,
+                            Base::Incarnation incarnation, Callback callback) = 0;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/standins/platform/platformserver.h
@@ -0,0 +1,58 @@
+// HTTP face of the platform stand-in, with switches for its faults.
+#pragma once
+
+#include "tablestore.h"
+
+#include <base/timers.h>
+#include <http/server.h>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace PlatformStandin {
+
+/// Serves table, objects and hosts as described in docs/protocols.md. POST /control sets faults.
+class PlatformServer
+{
+public:
+    PlatformServer(asio::io_context &io, Base::Timers &timers, Http::ServerOptions options);
+
+    absl::Status open();
+
+private:
+    void handle(const Http::Request &request, const Http::Respond &respond);
+    void serve(const Http::Request &request, const Http::Respond &respond);
+    void readRow(const Http::Request &request, const Http::Respond &respond);
+    void writeRow(const Http::Request &request, const Http::Respond &respond);
+    void readObject(const Http::Request &request, const Http::Respond &respond);
+    void writeObject(const Http::Request &request, const Http::Respond &respond);
+    void control(const Http::Request &request, const Http::Respond &respond);
+    void setHost(const Http::Request &request, const Http::Respond &respond);
+    nlohmann::json hostList();
+
+    struct HostChange
+    {
+        Base::TimePoint visibleAt;
+        std::string host;
+        std::string state;
+    };
+
+    Base::Timers &m_timers;
+    Http::Server m_server;
+    TableStore m_table;
+    std::map<std::string, std::string> m_objects;
+    std::map<std::string, std::string> m_hosts; // as visible now
+    std::deque<HostChange> m_hostChanges;       // not yet visible, in order
+    std::uint64_t m_requestCount = 0;
+
+    // Faults.
+    bool m_isDown = false;                // every request is refused with 503
+    bool m_isSilent = false;              // every request stays unanswered
+    std::chrono::milliseconds m_delay{0}; // before a request takes effect
+    std::chrono::milliseconds m_hostListLag{0};
+    std::uint32_t m_repliesToLose = 0; // the next writes take effect and stay unanswered
+};
+
+} // namespace PlatformStandin
--- /dev/null
+++ b/standins/platform/tablestore.h
@@ -0,0 +1,36 @@
+// The data of the platform stand-in: rows with versions, immutable objects and a host list.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace PlatformStandin {
+
+struct StoredRow
+{
+    std::string value;
+    std::uint64_t version = 0;
+    std::string transaction;
+};
+
+/// Compare-and-set rows. A write that is repeated under its transaction id has no further effect.
+class TableStore
+{
+public:
+    StoredRow read(const std::string &key) const;
+    /// Returns the new version, or nothing if the row is not at \a expectedVersion.
+    std::optional<std::uint64_t> compareAndSet(const std::string &key, const std::string &value,
+                                               std::uint64_t expectedVersion,
+                                               const std::string &transaction);
+
+    std::uint64_t writeCount() const { return m_writeCount; }
+
+private:
+    std::map<std::string, StoredRow> m_rows;
+    std::map<std::string, std::uint64_t> m_transactions; // id to the version it wrote
+    std::uint64_t m_writeCount = 0;
+};
+
+} // namespace PlatformStandin
