Jobs: suspended records for a lease that lapsed without a new owner

Cause: a lapse of the lease made all records replicas, and regaining it under the same epoch would have fenced the workers with that epoch, which does not refuse starts of the same epoch that are still on their way. Such a start could arrive after the worker had reported the task as unknown.

Change: records are suspended at a lapse and keep what is known of their tasks; regaining the same epoch resumes them, a higher epoch recovers them. Lost records are tracked with an end time that replicas inherit, and keys submitted meanwhile get a recorded outcome. Services drain in reverse order of their start.

Ruled out: a new epoch for each lapse (a table write that fails when the platform is away, which is when lapses are likely).

Conclusion: the same epoch never fences itself.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -237,9 +237,9 @@
 {
     Transfer *owner = nullptr;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &owner);
-    EP_ASSERT(owner, return );
+    EP_ASSERT(owner, return);
     const auto it = transfers.find(owner->id);
-    EP_ASSERT(it != transfers.end(), return );
+    EP_ASSERT(it != transfers.end(), return);
     const std::unique_ptr<Transfer> transfer = std::move(it->second);
     transfers.erase(it);
     ClientResponse response;
--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -21,12 +21,23 @@
 Coordinator::Coordinator(CoordinatorContext context, CoordinatorLimits limits)
     : m_context(std::move(context))
     , m_limits(limits)
-    , m_replicator(m_context.timers, m_context.peers, m_context.authority)
+    , m_replicator(m_context.timers, m_context.peers, m_context.authority,
+                   [this](Base::ShardIndex shard) { return incompleteTime(shard); })
     , m_runner(m_context.timers, m_context.workers)
 {
     m_sweepTimer = m_context.timers.schedule(Constants::RETENTION_SWEEP_MS, [this] { sweep(); });
 }
 
+Base::Duration Coordinator::incompleteTime(Base::ShardIndex shard) const
+{
+    const auto it = m_incompleteUntil.find(shard);
+    if (it == m_incompleteUntil.end())
+        return Base::Duration(0);
+    // Rounded up to a millisecond, so that a replica never sees the shard as complete too early.
+    return std::max(Base::Duration(0), it->second - m_context.timers.now())
+           + std::chrono::milliseconds(1);
+}
+
 Coordinator::~Coordinator()
 {
     *m_isAlive = false;
@@ -36,7 +47,7 @@
 
 void Coordinator::setManifest(std::shared_ptr<const Manifest::Manifest> manifest)
 {
-    EP_ASSERT(manifest, return );
+    EP_ASSERT(manifest, return);
     m_manifest = std::move(manifest);
     m_context.scheduler.setManifest(*m_manifest);
 }
@@ -133,7 +144,7 @@
 void Coordinator::submit(const Submission &submission, Base::Duration wait, ReplyHandler handler)
 {
     JobRecord *known = m_store.find(submission.id);
-    if (known && known->phase != RecordPhase::Replica) {
+    if (known && known->isHeldHere()) {
         if (known->digest != submission.digest) {
             replyLater(
                 std::move(handler),
@@ -160,12 +171,8 @@
             return;
         }
         record.epoch = *epoch;
-        if (m_incompleteSince.contains(record.shard.index)) {
-            Reply reply;
-            reply.view.state = RequestState::Failed;
-            reply.view.failure = FailureCode::KnowledgeLost;
-            reply.view.message = "records of the shard were lost; the key may have run before";
-            replyLater(std::move(handler), reply);
+        if (m_incompleteUntil.contains(record.shard.index)) {
+            acceptAsFailed(std::move(record), wait, std::move(handler));
             return;
         }
     }
@@ -185,15 +192,29 @@
     addWaiter(stored, wait, std::move(handler));
     armDeadline(stored);
     m_context.observer.requestAccepted(stored);
-    const Base::RequestId id = stored.id;
-    const Base::Epoch epoch = stored.epoch;
     if (stored.isLocal()) {
-        begin(id, epoch);
+        begin(stored.id, stored.epoch);
         return;
     }
-    const Base::Duration remaining = stored.deadline - m_context.timers.now();
-    m_replicator.replicate(stored.shard.index, epoch, {encodeRecord(stored, remaining, true)},
-                           [this, id, epoch] { begin(id, epoch); });
+    replicateNew(stored);
+}
+
+void Coordinator::replicateNew(JobRecord &record)
+{
+    const Base::Duration remaining = record.deadline - m_context.timers.now();
+    m_replicator.replicate(record.shard.index, record.epoch,
+                           {encodeRecord(record, remaining, true)},
+                           [this, id = record.id, epoch = record.epoch] { begin(id, epoch); });
+}
+
+void Coordinator::acceptAsFailed(JobRecord record, Base::Duration wait, ReplyHandler handler)
+{
+    JobRecord &stored = m_store.put(std::move(record));
+    activate(stored, RecordPhase::Accepting);
+    stored.isStartUncertain = true;
+    addWaiter(stored, wait, std::move(handler));
+    decideFailure(stored, FailureCode::KnowledgeLost,
+                  "records of the shard were lost; the key may have run before");
 }
 
 void Coordinator::begin(const Base::RequestId &id, Base::Epoch epoch)
@@ -216,7 +237,7 @@
 void Coordinator::query(const Base::RequestId &id, Base::Duration wait, ReplyHandler handler)
 {
     JobRecord *record = m_store.find(id);
-    if (record && record->phase != RecordPhase::Replica) {
+    if (record && record->isHeldHere()) {
         addWaiter(*record, wait, std::move(handler));
         return;
     }
@@ -240,7 +261,7 @@
 void Coordinator::cancel(const Base::RequestId &id, ReplyHandler handler)
 {
     JobRecord *record = m_store.find(id);
-    if (!record || record->phase == RecordPhase::Replica) {
+    if (!record || !record->isHeldHere()) {
         query(id, Base::Duration(0), std::move(handler));
         return;
     }
@@ -250,7 +271,7 @@
     if (isRunning)
         decideFailure(*record, FailureCode::Cancelled, "cancelled by the caller");
     record = m_store.find(id);
-    EP_ASSERT(record, return );
+    EP_ASSERT(record, return);
     addWaiter(*record, std::chrono::seconds(1), std::move(handler));
 }
 
@@ -302,12 +323,12 @@
 {
     m_context.timers.cancel(record.deadlineTimer);
     record.deadlineTimer = {};
-    EP_ASSERT(m_activeCount > 0, return );
+    EP_ASSERT(m_activeCount > 0, return);
     --m_activeCount;
     if (record.isLocal())
         --m_activeLocalCount;
     const auto it = m_activeByTeam.find(record.id.team);
-    EP_ASSERT(it != m_activeByTeam.end(), return );
+    EP_ASSERT(it != m_activeByTeam.end(), return);
     if (--it->second == 0)
         m_activeByTeam.erase(it);
 }
@@ -323,7 +344,7 @@
 void Coordinator::deadlinePassed(const Base::RequestId &id)
 {
     JobRecord *record = m_store.find(id);
-    if (!record || record->phase == RecordPhase::Replica || !record->isUndecided())
+    if (!record || !record->isHeldHere() || !record->isUndecided())
         return;
     decideFailure(*record, FailureCode::DeadlineExceeded, "no complete answer before the deadline");
 }
@@ -350,7 +371,7 @@
 
 void Coordinator::finishIfWhole(JobRecord &record)
 {
-    if (record.finishedCount < record.tasks.size())
+    if (record.finishedCount < record.tasks.size() || record.phase == RecordPhase::Suspended)
         return;
     RequestView outcome;
     outcome.state = RequestState::Complete;
@@ -361,24 +382,27 @@
 
 void Coordinator::decide(JobRecord &record, RequestView outcome)
 {
-    EP_ASSERT(record.isUndecided(), return );
-    EP_ASSERT(outcome.state != RequestState::NotRun || record.startedCount == 0, return );
+    EP_ASSERT(record.isUndecided() && record.isHeldHere(), return);
+    EP_ASSERT(outcome.state != RequestState::NotRun || record.startedCount == 0, return);
     EP_ASSERT(outcome.state != RequestState::Complete
                   || outcome.results.size() == record.payloads.size(),
-              return );
+              return);
     dropTasks(record);
     record.outcome = std::move(outcome);
     record.decidedAt = m_context.timers.now();
     record.phase = RecordPhase::Deciding;
-    const Base::RequestId id = record.id;
-    const Base::Epoch epoch = record.epoch;
     if (record.isLocal()) {
-        outcomeReplicated(id, epoch);
+        outcomeReplicated(record.id, record.epoch);
         return;
     }
-    m_replicator.replicate(record.shard.index, epoch,
-                           {encodeRecord(record, Base::Duration(0), false)},
-                           [this, id, epoch] { outcomeReplicated(id, epoch); });
+    replicateOutcome(record);
+}
+
+void Coordinator::replicateOutcome(JobRecord &record)
+{
+    m_replicator.replicate(
+        record.shard.index, record.epoch, {encodeRecord(record, Base::Duration(0), false)},
+        [this, id = record.id, epoch = record.epoch] { outcomeReplicated(id, epoch); });
 }
 
 void Coordinator::outcomeReplicated(const Base::RequestId &id, Base::Epoch epoch)
@@ -407,8 +431,7 @@
     const Base::TimePoint now = m_context.timers.now();
     m_store.expire(now);
     // Older submissions have passed their retention by then, so every unknown key is new again.
-    std::erase_if(m_incompleteSince,
-                  [&](const auto &it) { return it.second + m_limits.retention <= now; });
+    std::erase_if(m_incompleteUntil, [now](const auto &it) { return it.second <= now; });
 }
 
 } // namespace Jobs
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -61,7 +61,8 @@
     void cancel(const Base::RequestId &id, ReplyHandler handler);
 
     // Ownership.
-    void shardAcquired(Base::ShardIndex shard, Base::Epoch epoch);
+    /// \a completeKnowledge: false if records of earlier owners were lost in this step.
+    void shardAcquired(Base::ShardIndex shard, Base::Epoch epoch, bool completeKnowledge);
     void shardLost(Base::ShardIndex shard);
     void requiredReplicasChanged(Base::ShardIndex shard);
     /// Copies the shard to \a daemon and lists it as a replica.
@@ -95,6 +96,8 @@
     };
 
     Base::ShardId shardOf(const Submission &submission, bool isLocal) const;
+    /// A request whose key may have run before its records were lost is failed, not started.
+    void acceptAsFailed(JobRecord record, Base::Duration wait, ReplyHandler handler);
     absl::Status checkSubmission(const Submission &submission) const;
     /// Why a new request can't be accepted now; OK if it can.
     Scheduling::Admission admit(const Submission &submission, Base::TimePoint deadline) const;
@@ -138,6 +141,10 @@
     void recoveryDone(Base::ShardIndex shard, Base::Epoch epoch,
                       const std::vector<Base::UpstreamId> &uncertain);
     void resumeRecovered(JobRecord &record, const std::vector<Base::UpstreamId> &uncertain);
+    void resumeSuspended(JobRecord &record);
+    void prepareRecovery(JobRecord &record, Base::Epoch epoch);
+    void replicateOutcome(JobRecord &record);
+    void replicateNew(JobRecord &record);
     std::vector<std::string> encodedRecords(const Base::ShardId &shard);
     void storeReplica(JobRecord record);
     void dropOlderReplicas(const Base::ShardId &shard, Base::Epoch epoch);
@@ -149,6 +156,7 @@
     bool upstreamFences(const Base::UpstreamId &id) const;
     bool mayServe(const Manifest::Kind &kind, const Base::UpstreamId &upstream) const;
     std::vector<Base::UpstreamId> domainUpstreams() const;
+    Base::Duration incompleteTime(Base::ShardIndex shard) const;
 
     CoordinatorContext m_context;
     CoordinatorLimits m_limits;
@@ -165,9 +173,10 @@
     std::map<Base::TeamId, std::size_t> m_activeByTeam;
     std::map<Base::ShardIndex, std::unique_ptr<ShardRecovery>> m_recoveries;
     std::set<Base::ShardId> m_heldShards;
-    std::map<Base::ShardIndex, Base::TimePoint> m_incompleteSince; // shards with lost records
-    std::map<Base::UpstreamId, std::vector<TaskName>> m_stops;     // flushed by m_stopTimer
-    Base::TimerId m_stopTimer;                                     // 0 when not armed
+    // Shards with lost records: until then an unknown key may be an old one.
+    std::map<Base::ShardIndex, Base::TimePoint> m_incompleteUntil;
+    std::map<Base::UpstreamId, std::vector<TaskName>> m_stops; // flushed by m_stopTimer
+    Base::TimerId m_stopTimer;                                 // 0 when not armed
     Base::TimerId m_sweepTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/libs/jobs/coordinatorshards.cpp
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -27,41 +27,71 @@
     return upstreams;
 }
 
-void Coordinator::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch)
+void Coordinator::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch, bool completeKnowledge)
 {
-    if (m_context.authority.hasCompleteKnowledge(shard))
-        m_incompleteSince.erase(shard);
-    else
-        m_incompleteSince[shard] = m_context.timers.now();
-    bool hasUndecided = false;
+    if (!completeKnowledge)
+        m_incompleteUntil[shard] = m_context.timers.now() + m_limits.retention;
+    bool needsRecovery = false;
     for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
         JobRecord &record = *m_store.find(id);
-        EP_ASSERT(record.phase == RecordPhase::Replica || record.phase == RecordPhase::Decided,
-                  continue);
-        record.epoch = epoch;
-        if (record.phase == RecordPhase::Decided)
-            continue;
-        if (record.outcome) {
-            // The former owner may have been unable to replicate it everywhere.
-            record.expiresAt.reset();
-            activate(record, RecordPhase::Deciding);
-            m_replicator.replicate(shard, epoch, {encodeRecord(record, Base::Duration(0), false)},
-                                   [this, id, epoch] { outcomeReplicated(id, epoch); });
+        if (record.phase == RecordPhase::Decided) {
+            record.epoch = epoch;
             continue;
         }
-        hasUndecided = true;
-        record.expiresAt.reset();
-        activate(record, RecordPhase::Recovering);
-        record.isStartUncertain = true;
-        record.startedCount = 0;
-        record.finishedCount = 0;
-        record.tasks.assign(record.payloads.size(), {});
-        armDeadline(record);
+        EP_ASSERT(!record.isHeldHere(), continue);
+        if (record.phase == RecordPhase::Suspended && record.epoch == epoch)
+            resumeSuspended(record);
+        else
+            prepareRecovery(record, epoch);
+        needsRecovery |= record.phase == RecordPhase::Recovering;
     }
-    if (hasUndecided)
+    if (needsRecovery)
         startRecovery(shard, epoch);
 }
 
+void Coordinator::resumeSuspended(JobRecord &record)
+{
+    // Nobody else owned the shard, so what is known of the tasks still holds. Fencing would not
+    // help here: orders of the same epoch may still be on their way.
+    record.expiresAt.reset();
+    activate(record, record.suspendedPhase);
+    if (record.outcome) {
+        replicateOutcome(record);
+        return;
+    }
+    if (record.suspendedFailure != FailureCode::None) {
+        decideFailure(record, record.suspendedFailure, "a task failed while the lease was lapsed");
+        return;
+    }
+    armDeadline(record);
+    if (record.phase == RecordPhase::Recovering)
+        return;
+    if (record.finishedCount == record.tasks.size()) {
+        finishIfWhole(record);
+        return;
+    }
+    record.phase = RecordPhase::Accepting;
+    replicateNew(record);
+}
+
+void Coordinator::prepareRecovery(JobRecord &record, Base::Epoch epoch)
+{
+    record.epoch = epoch;
+    record.expiresAt.reset();
+    if (record.outcome) {
+        // The former owner may have been unable to replicate it everywhere.
+        activate(record, RecordPhase::Deciding);
+        replicateOutcome(record);
+        return;
+    }
+    activate(record, RecordPhase::Recovering);
+    record.isStartUncertain = true;
+    record.startedCount = 0;
+    record.finishedCount = 0;
+    record.tasks.assign(record.payloads.size(), {});
+    armDeadline(record);
+}
+
 void Coordinator::startRecovery(Base::ShardIndex shard, Base::Epoch epoch)
 {
     const Base::ShardId shardId{m_context.domain, shard};
@@ -112,6 +142,8 @@
     }
     if (report.state == TaskState::Unknown)
         return;
+    if (task.phase != TaskPhase::Waiting && task.upstream == upstream)
+        return;
     if (task.phase != TaskPhase::Waiting) {
         Base::log(Base::LogLevel::Error, "taskReportedTwice",
                   {{"task", report.task}, {"upstream", upstream}, {"other", task.upstream}});
@@ -220,17 +252,15 @@
     m_heldShards.erase({m_context.domain, shard});
     m_recoveries.erase(shard);
     m_replicator.shardLost(shard);
-    m_incompleteSince.erase(shard);
     const Reply reply{makeFailure(FailureCode::NotOwner, "the shard has another owner"), {}};
     for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
         JobRecord &record = *m_store.find(id);
-        if (record.phase == RecordPhase::Replica || record.phase == RecordPhase::Decided)
+        if (!record.isHeldHere() || record.phase == RecordPhase::Decided)
             continue;
         withdrawWaitingTasks(record);
         deactivate(record);
-        record.phase = RecordPhase::Replica;
-        record.tasks.clear();
-        m_store.updateSize(record);
+        record.suspendedPhase = record.phase;
+        record.phase = RecordPhase::Suspended;
         m_store.setExpiry(record, record.deadline + m_limits.retention);
         notifyWaiters(record, reply);
     }
@@ -297,6 +327,11 @@
         record->epoch = epoch;
         storeReplica(std::move(*record));
     }
+    if (message.incompleteMs > 0)
+        m_incompleteUntil[shard] =
+            m_context.timers.now() + std::chrono::milliseconds(message.incompleteMs);
+    else
+        m_incompleteUntil.erase(shard);
     if (message.snapshotEnd)
         dropOlderReplicas({m_context.domain, shard}, epoch);
     m_context.peers.send(from.daemon, ack);
@@ -307,9 +342,7 @@
     JobRecord *known = m_store.find(record.id);
     if (known && known->isLocal())
         return;
-    EP_ASSERT(!known || known->phase == RecordPhase::Replica
-                  || known->phase == RecordPhase::Decided,
-              return );
+    EP_ASSERT(!known || !known->isHeldHere() || known->phase == RecordPhase::Decided, return);
     if (known && known->phase == RecordPhase::Decided) {
         // Published outcomes are final; the new owner has the same one.
         known->epoch = std::max(known->epoch, record.epoch);
@@ -338,7 +371,7 @@
 {
     for (const Base::RequestId &id : m_store.idsOfShard(shard)) {
         const JobRecord &record = *m_store.find(id);
-        if (record.phase == RecordPhase::Replica && record.epoch < epoch)
+        if (!record.isHeldHere() && record.epoch < epoch)
             m_store.erase(id);
     }
 }
--- a/src/libs/jobs/coordinatortasks.cpp
+++ b/src/libs/jobs/coordinatortasks.cpp
@@ -24,7 +24,7 @@
 void Coordinator::enqueueTask(JobRecord &record, std::size_t index)
 {
     TaskEntry &task = record.tasks[index];
-    EP_ASSERT(task.phase == TaskPhase::Waiting, return );
+    EP_ASSERT(task.phase == TaskPhase::Waiting, return);
     const TaskHandle handle(++m_lastHandle);
     task.handle = handle;
     m_handles.emplace(handle, TaskReference{record.id, index, record.epoch, {}});
@@ -52,7 +52,7 @@
 void Coordinator::startTask(TaskHandle handle, const Base::UpstreamId &upstream)
 {
     const auto reference = m_handles.find(handle);
-    EP_ASSERT(reference != m_handles.end(), return );
+    EP_ASSERT(reference != m_handles.end(), return);
     const auto refuse = [&](Base::Duration delay) {
         const TaskReference task = reference->second;
         m_handles.erase(reference);
@@ -76,7 +76,7 @@
     }
     const std::size_t index = reference->second.index;
     TaskEntry &task = record->tasks[index];
-    EP_ASSERT(task.phase == TaskPhase::Waiting, refuse(Constants::LEASE_RETRY_MS); return );
+    EP_ASSERT(task.phase == TaskPhase::Waiting, refuse(Constants::LEASE_RETRY_MS); return);
     const Base::TimePoint now = m_context.timers.now();
     reference->second.startedAt = now;
     task.phase = TaskPhase::Started;
@@ -123,7 +123,7 @@
 void Coordinator::taskEnded(TaskHandle handle, const TaskEnd &end)
 {
     const auto it = m_handles.find(handle);
-    EP_ASSERT(it != m_handles.end(), return );
+    EP_ASSERT(it != m_handles.end(), return);
     const TaskReference task = it->second;
     m_handles.erase(it);
     JobRecord *record = findActive(task.request, task.epoch);
@@ -133,9 +133,28 @@
                                      m_context.timers.now() - task.startedAt);
 }
 
+/// None for an end after which the request can go on.
+static FailureCode failureOf(TaskEndKind kind)
+{
+    switch (kind) {
+    case TaskEndKind::Failed:
+    case TaskEndKind::Stopped:
+        return FailureCode::TaskFailed;
+    case TaskEndKind::Lost:
+        return FailureCode::WorkerLost;
+    default:
+        return FailureCode::None;
+    }
+}
+
 void Coordinator::applyTaskEnd(JobRecord &record, std::size_t index, const TaskEnd &end)
 {
-    EP_ASSERT(record.tasks[index].phase == TaskPhase::Started, return );
+    EP_ASSERT(record.tasks[index].phase == TaskPhase::Started, return);
+    if (record.phase == RecordPhase::Suspended && failureOf(end.kind) != FailureCode::None) {
+        // Without the lease the failure can't be decided yet.
+        record.suspendedFailure = failureOf(end.kind);
+        return;
+    }
     switch (end.kind) {
     case TaskEndKind::Succeeded:
         m_context.observer.taskEnded(record, index, FailureCode::None);
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -31,7 +31,8 @@
 };
 
 enum class RecordPhase {
-    Replica,    ///< Held for another daemon, or for an epoch that this daemon has lost.
+    Replica,    ///< Held for another daemon.
+    Suspended,  ///< The lease lapsed; nobody else is known to own the shard yet.
     Accepting,  ///< Being replicated; no task may start.
     Running,    ///< Tasks may start.
     Recovering, ///< After a takeover; workers are being asked what they have started.
@@ -58,6 +59,8 @@
     std::vector<std::string> payloads; // dropped once decided
     Base::TimePoint deadline;
     RecordPhase phase = RecordPhase::Replica;
+    RecordPhase suspendedPhase = RecordPhase::Replica;            // valid while suspended
+    Base::FailureCode suspendedFailure = Base::FailureCode::None; // to be decided after resuming
     std::optional<RequestView> outcome;       // set from Deciding on, and at replicas once known
     Base::TimePoint decidedAt;                // valid with an outcome
     std::optional<Base::TimePoint> expiresAt; // set for outcomes and replicas
@@ -73,6 +76,11 @@
 
     bool isLocal() const { return shard.domain.isEmpty(); }
     bool isUndecided() const { return !outcome.has_value(); }
+    /// Whether this daemon speaks for the record.
+    bool isHeldHere() const
+    {
+        return phase != RecordPhase::Replica && phase != RecordPhase::Suspended;
+    }
 };
 
 /// The replicated form of a record: msgpack. \a remaining is the time to the deadline.
--- a/src/libs/jobs/recordstore.cpp
+++ b/src/libs/jobs/recordstore.cpp
@@ -53,7 +53,7 @@
         return;
     m_bytes -= it->second.bytes;
     const auto shard = m_shards.find(it->second.shard);
-    EP_ASSERT(shard != m_shards.end(), return );
+    EP_ASSERT(shard != m_shards.end(), return);
     shard->second.erase(id);
     if (shard->second.empty())
         m_shards.erase(shard);
--- a/src/libs/jobs/replicator.cpp
+++ b/src/libs/jobs/replicator.cpp
@@ -9,10 +9,12 @@
 
 namespace Jobs {
 
-Replicator::Replicator(Base::Timers &timers, Wire::PeerPort &peers, ShardAuthority &authority)
+Replicator::Replicator(Base::Timers &timers, Wire::PeerPort &peers, ShardAuthority &authority,
+                       IncompleteTime incompleteTime)
     : m_timers(timers)
     , m_peers(peers)
     , m_authority(authority)
+    , m_incompleteTime(std::move(incompleteTime))
 {}
 
 Replicator::~Replicator()
@@ -65,6 +67,8 @@
 {
     const std::uint64_t sequence = ++m_lastSequence;
     pending.message.sequence = sequence;
+    pending.message.incompleteMs = static_cast<std::uint64_t>(
+        Base::toMilliseconds(m_incompleteTime(Base::ShardIndex(pending.message.shard))));
     if (isSettled(pending) && pending.unacknowledged.empty()) {
         pending.callback();
         return;
--- a/src/libs/jobs/replicator.h
+++ b/src/libs/jobs/replicator.h
@@ -21,7 +21,11 @@
 public:
     using Callback = std::function<void()>;
 
-    Replicator(Base::Timers &timers, Wire::PeerPort &peers, ShardAuthority &authority);
+    /// Tells how long the knowledge of a shard is still incomplete.
+    using IncompleteTime = std::function<Base::Duration(Base::ShardIndex)>;
+
+    Replicator(Base::Timers &timers, Wire::PeerPort &peers, ShardAuthority &authority,
+               IncompleteTime incompleteTime);
     ~Replicator();
 
     /// Calls \a acknowledged, possibly from within this function, when every required replica holds
@@ -61,6 +65,7 @@
     Base::Timers &m_timers;
     Wire::PeerPort &m_peers;
     ShardAuthority &m_authority;
+    IncompleteTime m_incompleteTime;
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, Pending> m_pending; // by sequence
     std::map<Base::ShardIndex, std::set<Base::DaemonId>> m_joining;
--- a/src/libs/jobs/shardauthority.h
+++ b/src/libs/jobs/shardauthority.h
@@ -21,8 +21,6 @@
 
     /// The epoch under which this daemon owns \a shard with a lease that is valid at this moment.
     virtual std::optional<Base::Epoch> leasedEpoch(Base::ShardIndex shard) const = 0;
-    /// Whether this daemon knows every request that the shard ever accepted within retention.
-    virtual bool hasCompleteKnowledge(Base::ShardIndex shard) const = 0;
     /// Daemons that must acknowledge a record of the shard.
     virtual std::vector<Base::DaemonId> requiredReplicas(Base::ShardIndex shard) const = 0;
 
--- a/src/libs/kernel/service.h
+++ b/src/libs/kernel/service.h
@@ -9,8 +9,8 @@
 
 class ServiceRegistry;
 
-/// A part of the daemon with a life cycle. It is created, then started in the order of
-/// registration, drained, and stopped in reverse order. All calls happen on the daemon's loop.
+/// A part of the daemon with a life cycle. It is created, started in the order of registration,
+/// then drained and stopped in reverse order. All calls happen on the daemon's loop.
 class Service
 {
 public:
--- a/src/libs/kernel/serviceregistry.cpp
+++ b/src/libs/kernel/serviceregistry.cpp
@@ -9,8 +9,8 @@
 
 void ServiceRegistry::add(std::string name, std::unique_ptr<Service> service)
 {
-    EP_ASSERT(service, return );
-    EP_ASSERT(!findService(name), return );
+    EP_ASSERT(service, return);
+    EP_ASSERT(!findService(name), return);
     m_entries.push_back({std::move(name), std::move(service)});
 }
 
@@ -35,19 +35,20 @@
     return absl::OkStatus();
 }
 
-void ServiceRegistry::drainFrom(std::size_t index, std::function<void()> done)
+void ServiceRegistry::drainBefore(std::size_t index, std::function<void()> done)
 {
-    if (index >= m_startedCount) {
+    if (index == 0) {
         done();
         return;
     }
-    m_entries[index].service->drain(
-        [this, index, done = std::move(done)]() mutable { drainFrom(index + 1, std::move(done)); });
+    m_entries[index - 1].service->drain([this, index, done = std::move(done)]() mutable {
+        drainBefore(index - 1, std::move(done));
+    });
 }
 
 void ServiceRegistry::drainAll(std::function<void()> done)
 {
-    drainFrom(0, std::move(done));
+    drainBefore(m_startedCount, std::move(done));
 }
 
 void ServiceRegistry::stopAll()
--- a/src/libs/kernel/serviceregistry.h
+++ b/src/libs/kernel/serviceregistry.h
@@ -29,7 +29,7 @@
 
     /// Starts all services; stops at the first failure and returns it.
     absl::Status startAll();
-    /// Drains the services one after the other in order, then calls \a done.
+    /// Drains the started services one after the other in reverse order, then calls \a done.
     void drainAll(std::function<void()> done);
     /// Stops the started services in reverse order.
     void stopAll();
@@ -42,7 +42,7 @@
     };
 
     Service *findService(std::string_view name) const;
-    void drainFrom(std::size_t index, std::function<void()> done);
+    void drainBefore(std::size_t index, std::function<void()> done);
 
     std::vector<Entry> m_entries;
     std::size_t m_startedCount = 0; // entries before this index are started
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -67,8 +67,9 @@
     std::vector<std::string> records; // encoded by the jobs library
     bool snapshot = false;            // the records are part of a copy of the whole shard
     bool snapshotEnd = false;         // the last part of that copy
+    std::uint64_t incompleteMs = 0;   // how long the owner still does not know all earlier keys
 
-    MSGPACK_DEFINE(shard, epoch, sequence, records, snapshot, snapshotEnd)
+    MSGPACK_DEFINE(shard, epoch, sequence, records, snapshot, snapshotEnd, incompleteMs)
 };
 
 struct ReplicateAck
