--- a/src/libs/manifest/manifestcheck.cpp
+++ b/src/libs/manifest/manifestcheck.cpp
@@ -78,6 +78,10 @@
         if (std::find(groups.begin(), groups.end(), upstream.group) == groups.end())
             continue;
         found.insert(upstream.group);
+        // An unknown domain has been reported at the upstream.
+        const auto &domains = manifest.domains;
+        if (std::find(domains.begin(), domains.end(), upstream.domain) == domains.end())
+            continue;
         bool &domainServable = servable[upstream.domain];
         domainServable = domainServable || fits(kind.resources, upstream.resources);
     }
