Scheduling: queue scheduler with fair queue, estimates, ejection and admission

Cause: the interface TaskScheduler had no implementation; the daemon needs one to start tasks.

Change: QueueScheduler binds late. FairQueue orders by class, start-time fair queueing among teams and deadline, with an index by (class, group, team). UpstreamPool tracks slots, resources, speeds and health. Placement policies: fastest free slot with a waiting rule, and the baselines random, round robin and least outstanding over the same queue. Admission control, retry budget and stop batching are separate parts. Speeds and run times are learned from results; an unlearned or old run time never refuses work by itself.

The cmake function for tests defines BOOST_TEST_MODULE for the first source only, since a test program of several sources had several main functions.

--- a/cmake/EndivepathTargets.cmake
+++ b/cmake/EndivepathTargets.cmake
@@ -39,8 +39,10 @@
   target_link_libraries(tst_${name} PRIVATE endivepath_options ${depends}
                                             Boost::unit_test_framework)
   target_include_directories(tst_${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/auto)
-  target_compile_definitions(tst_${name} PRIVATE BOOST_TEST_DYN_LINK
-                                                 BOOST_TEST_MODULE=${name})
+  target_compile_definitions(tst_${name} PRIVATE BOOST_TEST_DYN_LINK)
+  # The first source gets main(); defining the module in each of several sources defines it twice.
+  list(GET sources 0 main_source)
+  set_property(SOURCE ${main_source} APPEND PROPERTY COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
   set_target_properties(tst_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   add_test(NAME ${name} COMMAND tst_${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "EP_SOFT_ASSERT=abort")
--- /dev/null
+++ b/src/libs/scheduling/admissioncontrol.cpp
@@ -0,0 +1,89 @@
+// Expected response time from the queued work, the capacity and the team's share of it.
+#include "admissioncontrol.h"
+
+#include <base/failure.h>
+
+#include <algorithm>
+
+namespace Scheduling {
+
+/// The estimate of the waiting time must leave this reserve, since work that is already admitted
+/// but not yet queued, and estimates that are too low, would otherwise make most answers late.
+static constexpr double WAIT_RESERVE = 1.25;
+/// Jobs are assumed to get at least this part of the capacity beside single requests.
+static constexpr double MIN_JOB_CAPACITY = 0.05;
+/// Tasks that may wait for a kind of which this daemon has no slots, in the hope of a loan.
+static constexpr std::size_t MAX_WAITING_FOR_LOAN = 16;
+static constexpr std::chrono::milliseconds MIN_RETRY_AFTER_MS{100};
+static constexpr std::chrono::milliseconds MAX_RETRY_AFTER_MS{30'000};
+static constexpr std::chrono::milliseconds NO_UPSTREAM_RETRY_AFTER_MS{1000};
+
+static Base::Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, std::milli>(ms));
+}
+
+static Admission refuse(Base::FailureCode code, const char *message, Base::Duration retryAfter)
+{
+    return {Base::makeFailure(code, message), retryAfter, Base::Duration(0)};
+}
+
+/// Time until the last task starts.
+static double waitMs(const AdmissionRequest &request, const AdmissionState &state)
+{
+    const double ownWork = request.taskCount * state.meanWorkMs;
+    double capacity = state.capacity;
+    if (!state.single)
+        capacity = std::max(capacity - state.singleLoad, capacity * MIN_JOB_CAPACITY);
+    // The first tasks find free slots if nothing waits.
+    const double inSlots =
+        state.queuedWorkMs > 0 ? 0 : capacity / state.meanSpeed * state.meanWorkMs;
+    const double inOrder = state.queuedWorkMs + ownWork;
+    const double byShare = (state.teamWorkMs + ownWork) / state.teamShare;
+    return std::max(0.0, std::min(inOrder, byShare) - inSlots) / capacity;
+}
+
+Admission decideAdmission(const AdmissionRequest &request, const AdmissionState &state,
+                          Base::TimePoint now)
+{
+    using Base::FailureCode;
+    if (state.declaredUpstreams == 0) {
+        return refuse(FailureCode::Unservable,
+                      "no declared upstream has the kind's group and resources", {});
+    }
+    if (state.listedUpstreams == 0) {
+        return refuse(FailureCode::Overloaded, "no upstream for the kind is available",
+                      NO_UPSTREAM_RETRY_AFTER_MS);
+    }
+    if (state.teamMaxQueued > 0 && state.teamQueued + request.taskCount > state.teamMaxQueued) {
+        return refuse(FailureCode::QuotaExceeded, "the team's queued tasks would exceed its quota",
+                      NO_UPSTREAM_RETRY_AFTER_MS);
+    }
+    const Base::Duration left = request.deadline - now;
+    const Base::Duration run =
+        fromMs(state.upperWorkMs / std::max(state.slowestSpeed, 0.5 * state.meanSpeed));
+    if (run > left) {
+        return refuse(FailureCode::DeadlineImpossible,
+                      "the run time of one task exceeds the time to the deadline", {});
+    }
+    if (state.capacity <= 0) {
+        if (state.teamQueued + request.taskCount > MAX_WAITING_FOR_LOAN) {
+            return refuse(FailureCode::Overloaded, "this daemon has no slots for the kind",
+                          NO_UPSTREAM_RETRY_AFTER_MS);
+        }
+        return {absl::OkStatus(), {}, run};
+    }
+    const Base::Duration wait = fromMs(waitMs(request, state) * WAIT_RESERVE);
+    const Base::Duration retryAfter =
+        std::clamp<Base::Duration>(wait + run - left, MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    if (state.queued + request.taskCount > state.maxQueued)
+        return refuse(FailureCode::Overloaded, "the queue is full", retryAfter);
+    if (wait + run > left) {
+        return refuse(FailureCode::Overloaded, "the queue is too long for the deadline",
+                      retryAfter);
+    }
+    return {absl::OkStatus(), {}, wait + run};
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/fairqueue.h
@@ -0,0 +1,105 @@
+// Waiting tasks, ordered by class, fair share among teams and deadline.
+#pragma once
+
+#include "schedulingtypes.h"
+#include "taskscheduler.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Scheduling {
+
+/// One task in a FairQueue.
+struct WaitingTask
+{
+    TaskHandle handle;
+    TaskClass taskClass = TaskClass::Job;
+    TeamIndex team;
+    GroupIndex group;
+    Base::TimePoint deadline;
+};
+
+/// Bounded queue. Teams of one class are served by start-time fair queueing: each team has a
+/// virtual time that advances by cost / weight when one of its tasks starts, and the team with the
+/// lowest virtual time is next. Within a team the earliest deadline is next. Tasks are indexed by
+/// (class, group, team), so that a group that can't start now is skipped as a whole; operations
+/// cost O(log n) in waiting tasks and teams, times the number of groups.
+class FairQueue
+{
+public:
+    explicit FairQueue(std::size_t maxTasks);
+
+    /// Teams have weight 1 until set. \a weight must be positive.
+    void setWeight(TeamIndex team, double weight);
+    double weight(TeamIndex team) const;
+
+    /// Returns false if the queue is full or the handle is known.
+    bool push(const WaitingTask &task);
+    /// Removes a task without charging its team. Returns false if it is unknown.
+    bool withdraw(TaskHandle handle);
+    /// The next task of \a taskClass among the groups that \a canStart accepts.
+    std::optional<WaitingTask> next(TaskClass taskClass,
+                                    const std::function<bool(GroupIndex)> &canStart) const;
+    /// Removes a task that starts and charges \a cost of slot time to its team.
+    bool start(TaskHandle handle, Base::Duration cost);
+
+    const WaitingTask *find(TaskHandle handle) const;
+    std::size_t size() const { return m_tasks.size(); }
+    std::size_t size(TaskClass taskClass) const { return band(taskClass).count; }
+    std::size_t size(TaskClass taskClass, GroupIndex group) const;
+    std::size_t size(TaskClass taskClass, TeamIndex team) const;
+    std::size_t size(TeamIndex team) const;
+    /// Sum of the weights of the teams with tasks of \a taskClass.
+    double activeWeight(TaskClass taskClass) const { return band(taskClass).activeWeight; }
+    bool isActive(TaskClass taskClass, TeamIndex team) const;
+
+private:
+    using DeadlineKey = std::pair<Base::TimePoint, std::uint64_t>;
+    using TeamKey = std::pair<double, TeamIndex>;
+    struct GroupQueue
+    {
+        std::set<TeamKey> teams; // teams with tasks in this group, by virtual time
+        std::size_t count = 0;
+    };
+    struct TeamQueue
+    {
+        double virtualTime = 0;
+        std::size_t count = 0;
+        std::map<GroupIndex, std::map<DeadlineKey, TaskHandle>> byGroup; // no empty maps
+    };
+    struct Band
+    {
+        double virtualTime = 0; // highest start tag served; never decreases
+        double activeWeight = 0;
+        std::size_t count = 0;
+        std::map<GroupIndex, GroupQueue> groups; // no empty groups
+        std::vector<TeamQueue> teams;
+    };
+    struct Stored
+    {
+        WaitingTask task;
+        std::uint64_t sequence = 0;
+    };
+
+    Band &band(TaskClass taskClass) { return m_bands[static_cast<std::size_t>(taskClass)]; }
+    const Band &band(TaskClass taskClass) const
+    {
+        return m_bands[static_cast<std::size_t>(taskClass)];
+    }
+    static void setVirtualTime(Band &band, TeamIndex team, double virtualTime);
+    void ensureTeam(TeamIndex team);
+    void remove(const Stored &stored);
+
+    const std::size_t m_maxTasks;
+    std::uint64_t m_lastSequence = 0;
+    std::array<Band, 2> m_bands;
+    std::vector<double> m_weights;
+    std::unordered_map<TaskHandle, Stored> m_tasks;
+};
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/upstreampool.h
@@ -0,0 +1,156 @@
+// The upstreams that this daemon may use: slots, resources, racks, speeds and health.
+#pragma once
+
+#include "schedulingconstants.h"
+#include "schedulingtypes.h"
+#include "speedestimate.h"
+#include "taskscheduler.h"
+#include "upstreamhealth.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Scheduling {
+
+/// Everything known about one upstream.
+struct UpstreamState
+{
+    Base::UpstreamId id;
+    std::size_t rack = 0;
+    Manifest::Resources resources;
+    std::vector<KindIndex> kinds; // kinds that it may run, by group and resources
+    bool leaving = false;
+    std::uint32_t slots = 0; // this daemon's share
+    std::uint32_t inUse = 0;
+    Manifest::Resources used;
+    SpeedEstimate speed;
+    UpstreamHealth health;
+    Base::TimePoint lastStart;
+
+    /// Takes regular work.
+    bool isUsable() const { return slots > 0 && !leaving && !health.isEjected(); }
+};
+
+/// What the pool needs to know about a kind.
+struct PoolKind
+{
+    Base::KindId id;
+    Manifest::Resources resources;
+    std::vector<Base::UpstreamGroupId> upstreamGroups;
+};
+
+/// Upstreams with a free slot are indexed by kind and speed. Starting and finishing a task cost
+/// O(log n) in the number of upstreams, times the kinds of the upstream where the free state
+/// changes.
+class UpstreamPool
+{
+public:
+    /// Usable slots, and the work in ms that they do per ms.
+    struct Capacity
+    {
+        double work = 0;
+        std::uint32_t slots = 0;
+    };
+
+    /// Fastest first.
+    struct FreeKey
+    {
+        int bucket = 0;
+        UpstreamIndex upstream;
+
+        bool operator<(const FreeKey &other) const
+        {
+            return bucket != other.bucket ? bucket > other.bucket : upstream < other.upstream;
+        }
+    };
+
+    /// \a kinds by KindIndex. Upstreams that are not in \a upstreams any more take no new work.
+    void setUpstreams(const std::map<Base::UpstreamId, Manifest::Upstream> &upstreams,
+                      std::vector<PoolKind> kinds);
+    void setAvailability(const std::map<Base::UpstreamId, UpstreamAvailability> &availability);
+
+    void taskStarted(UpstreamIndex upstream, const Manifest::Resources &resources,
+                     Base::TimePoint now);
+    /// Frees the slot and \a resources, which must be those given at the start, and learns from the
+    /// result. \a kindLogMean as for SpeedEstimate::add().
+    void taskFinished(UpstreamIndex upstream, const Manifest::Resources &resources,
+                      TaskResult result, Base::Duration runTime, double kindLogMean,
+                      Base::TimePoint now);
+
+    /// Makes ejected upstreams whose probe is due available for one task.
+    void updateProbes(Base::TimePoint now);
+    /// When updateProbes() has work again; TimePoint::max() if nothing is ejected.
+    Base::TimePoint nextProbe() const;
+
+    bool hasFree(KindIndex kind) const { return !at(m_byKind, kind).free.empty(); }
+    const std::set<FreeKey> &freeBySpeed(KindIndex kind) const { return at(m_byKind, kind).free; }
+    const std::vector<UpstreamIndex> &freeUpstreams(KindIndex kind) const
+    {
+        return at(m_byKind, kind).freeList;
+    }
+    /// A usable upstream with a free slot for \a kind whose last start was before \a since.
+    std::optional<UpstreamIndex> staleUpstream(KindIndex kind, Base::TimePoint since) const;
+    /// Slots times speed of the usable upstreams of \a kind.
+    double capacity(KindIndex kind) const { return at(m_byKind, kind).capacity; }
+    /// The part of capacity() and usableSlots() that is faster than \a bucket.
+    Capacity capacityAbove(KindIndex kind, int bucket) const;
+    std::uint32_t usableSlots(KindIndex kind) const { return at(m_byKind, kind).slots; }
+    /// Speed of the slowest usable upstream of \a kind; 1 if there is none.
+    double slowestSpeed(KindIndex kind) const;
+    const Manifest::Resources &resources(KindIndex kind) const
+    {
+        return at(m_kinds, kind).resources;
+    }
+    /// Declared upstreams that may run \a kind, available or not.
+    std::size_t declaredCount(KindIndex kind) const { return at(m_byKind, kind).declared; }
+    /// Listed upstreams for \a kind that do not leave, also where another daemon has all slots.
+    std::size_t listedCount(KindIndex kind) const { return at(m_byKind, kind).listed; }
+    /// Whether the kinds share an upstream.
+    bool overlap(KindIndex a, KindIndex b) const { return at(at(m_overlap, a), b); }
+
+    const UpstreamState &upstream(UpstreamIndex index) const { return at(m_upstreams, index); }
+    const UpstreamIndex *find(const Base::UpstreamId &id) const;
+    std::size_t ejectedCount() const { return m_ejected.size(); }
+    std::size_t rackInUse(std::size_t rack) const { return m_rackInUse[rack]; }
+    std::size_t kindCount() const { return m_kinds.size(); }
+
+private:
+    struct KindState
+    {
+        std::set<FreeKey> free;
+        std::vector<UpstreamIndex> freeList; // same members, in no order
+        std::vector<std::size_t> position;   // by UpstreamIndex: 1 + index in freeList, 0 if absent
+        std::array<std::uint32_t, Constants::SPEED_BUCKETS> slotsByBucket{}; // usable slots
+        double capacity = 0;
+        std::uint32_t slots = 0;
+        std::size_t declared = 0;
+        std::size_t listed = 0;
+    };
+
+    bool canStart(const UpstreamState &upstream, KindIndex kind) const;
+    void refresh(UpstreamIndex index);
+    void rebuild();
+    void applyAvailability();
+    void updateSpeed(UpstreamIndex index, Base::Duration runTime, double kindLogMean);
+    std::size_t rackIndex(const std::string &rack);
+    bool mayEject() const;
+
+    std::vector<PoolKind> m_kinds;
+    std::vector<KindState> m_byKind;
+    std::vector<std::vector<bool>> m_overlap;
+    std::vector<UpstreamState> m_upstreams; // never shrinks: tasks may still run there
+    std::vector<bool> m_listed;             // available and not leaving
+    std::map<Base::UpstreamId, UpstreamAvailability> m_availability;
+    std::map<Base::UpstreamId, UpstreamIndex> m_indexOf;
+    std::map<std::string, std::size_t> m_rackOf;
+    std::vector<std::size_t> m_rackInUse;
+    std::set<std::pair<Base::TimePoint, UpstreamIndex>> m_byLastStart;
+    std::set<UpstreamIndex> m_ejected;
+    std::set<UpstreamIndex> m_probing; // ejected and open for one task
+    double m_failureRate = 0;
+};
+
+} // namespace Scheduling
