Base: spell out the three-way comparisons of ids

Cause: clang-tidy-14 reports modernize-use-nullptr at a defaulted <=> as soon as an ordered container or a sort uses it, because the operator that it generates compares with a literal 0. Change: the comparisons of Id, Number, RequestId and ShardId are written out; equality stays defaulted. The order is the same. Ruled out: NOLINT comments and removing the rule from .clang-tidy, which would also hide real findings. Conclusion: ids can be keys of ordered containers.

--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -8,6 +8,7 @@
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace Base {
@@ -25,7 +26,9 @@
     const std::string &value() const { return m_value; }
     bool isEmpty() const { return m_value.empty(); }
 
-    auto operator<=>(const Id &) const = default;
+    // Spelled out, because clang-tidy-14 reports defaulted three-way comparisons as null pointers.
+    auto operator<=>(const Id &other) const { return m_value <=> other.m_value; }
+    bool operator==(const Id &) const = default;
 
     friend std::ostream &operator<<(std::ostream &out, const Id &id) { return out << id.m_value; }
 
@@ -46,7 +49,8 @@
     constexpr std::uint64_t value() const { return m_value; }
     constexpr Number next() const { return Number(m_value + 1); }
 
-    constexpr auto operator<=>(const Number &) const = default;
+    constexpr auto operator<=>(const Number &other) const { return m_value <=> other.m_value; }
+    constexpr bool operator==(const Number &) const = default;
 
     friend std::ostream &operator<<(std::ostream &out, const Number &n) { return out << n.m_value; }
 
@@ -76,7 +80,11 @@
     TeamId team;
     RequestKey key;
 
-    auto operator<=>(const RequestId &) const = default;
+    auto operator<=>(const RequestId &other) const
+    {
+        return std::tie(team, key) <=> std::tie(other.team, other.key);
+    }
+    bool operator==(const RequestId &) const = default;
 };
 
 /// A shard of the key space. It lives in its home failure domain and never moves to another one.
@@ -85,7 +93,11 @@
     FailureDomainId domain;
     ShardIndex index;
 
-    auto operator<=>(const ShardId &) const = default;
+    auto operator<=>(const ShardId &other) const
+    {
+        return std::tie(domain, index) <=> std::tie(other.domain, other.index);
+    }
+    bool operator==(const ShardId &) const = default;
 };
 
 } // namespace Base
