Base: recognise well-formed UTF-8 sequences

Cause: idempotency keys and label values come from callers and end in JSON, SVG, terminal and metrics output, which must stay valid UTF-8. Ruled out: std::codecvt (deprecated) and mbrtowc (depends on the locale). Conclusion: one check for all outputs.

--- a/tests/auto/base/tst_base.cpp
+++ b/tests/auto/base/tst_base.cpp
@@ -2,6 +2,7 @@
 #include <base/failure.h>
 #include <base/hash.h>
 #include <base/ids.h>
+#include <base/utf8.h>
 #include <support/manualtimers.h>
 
 #include <boost/test/unit_test.hpp>
@@ -46,3 +47,34 @@
     timers.advance(std::chrono::milliseconds(30));
     BOOST_TEST(order == (std::vector<int>{1, 15, 2}), boost::test_tools::per_element());
 }
+
+// Guards against malformed text that passes for UTF-8 and breaks JSON, SVG or metrics output.
+BOOST_AUTO_TEST_CASE(utf8SequencesAreRecognised)
+{
+    const std::pair<std::string_view, std::size_t> rows[] = {
+        {"", 0},
+        {"a", 1},
+        {std::string_view("\0", 1), 1},
+        {"\x7f", 1},
+        {"\x80", 0},     // continuation without a start
+        {"\xc1\xbf", 0}, // overlong
+        {"\xc2\x80", 2},
+        {"\xc2", 0}, // cut off
+        {"\xc2\x41", 0},
+        {"\xe0\x9f\xbf", 0}, // overlong
+        {"\xe0\xa0\x80z", 3},
+        {"\xe0\xa0", 0},
+        {"\xed\x9f\xbf", 3},
+        {"\xed\xa0\x80", 0}, // surrogate
+        {"\xef\xbf\xbf", 3},
+        {"\xf0\x8f\xbf\xbf", 0}, // overlong
+        {"\xf0\x90\x80\x80", 4},
+        {"\xf0\x90\x80\xc0", 0},
+        {"\xf4\x8f\xbf\xbf", 4},
+        {"\xf4\x90\x80\x80", 0}, // above U+10FFFF
+        {"\xf5\x80\x80\x80", 0},
+        {"\xff", 0},
+    };
+    for (const auto &[text, expected] : rows)
+        BOOST_TEST(utf8SequenceLength(text) == expected);
+}
