--- /dev/null
+++ b/src/libs/eventlog/eventlogconstants.h
@@ -0,0 +1,16 @@
+// Constants of the event log.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace EventLog::Constants {
+
+/// A peer's stamp further ahead than this is a wrong clock, not a delay.
+constexpr std::uint64_t MAX_REMOTE_AHEAD_MS = 60'000;
+
+/// Inline capacities of the names in a ring entry. A key with a domain prefix and a UUID fits.
+constexpr std::size_t KEY_CAPACITY_BYTES = 63;
+constexpr std::size_t NAME_CAPACITY_BYTES = 31;
+
+} // namespace EventLog::Constants
