Daemon: services from callers to upstreams, wired by name

Cause: the libraries need a process around them for a request to travel from a caller to an upstream and back.

Change: plugins for the platform client, peer link with a mutual proof of the deployment's key, cluster view by heartbeats, manifest, membership, upstream client, ownership, jobs, request router, callers' and operators' ports, and the binary endivepathd that starts, drains and stops them.

Ruled out: one connection for both directions of a pair of daemons (the two sides would have to agree which of two simultaneous dials survives).

A non-repeatable request stays pending, because the other daemons of the domain stop answering after the manifest arrives.

--- /dev/null
+++ b/src/app/endivepathd/daemon.h
@@ -0,0 +1,38 @@
+// One endivepathd: its loop, its services and its shutdown.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <base/asiotimers.h>
+#include <jobs/jobobserver.h>
+#include <kernel/serviceregistry.h>
+#include <settings/daemonsettings.h>
+#include <settings/runtime.h>
+
+namespace Daemon {
+
+/// Wires the services together and runs them until a signal ends the daemon.
+class DaemonProcess
+{
+public:
+    explicit DaemonProcess(Settings::DaemonSettings settings);
+
+    /// Runs until drained after SIGTERM or SIGINT. A second signal ends it at once.
+    absl::Status run();
+
+private:
+    void addServices();
+    void awaitSignal();
+    void beginDrain();
+
+    const Settings::DaemonSettings m_settings;
+    asio::io_context m_io{1};
+    Base::AsioTimers m_timers{m_io};
+    asio::signal_set m_signals{m_io, SIGINT, SIGTERM};
+    const Settings::Runtime m_runtime;
+    Jobs::JobObserver m_observer;
+    Kernel::ServiceRegistry m_registry;
+    bool m_isDraining = false;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/app/endivepathd/main.cpp
@@ -0,0 +1,65 @@
+// Command line of the daemon.
+#include "daemon.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+/// Exit codes, as documented in docs/operations.md.
+static constexpr int EXIT_OK = 0;
+static constexpr int EXIT_START_FAILED = 1;
+static constexpr int EXIT_USAGE = 2;
+
+static int run(const std::string &path, bool isCheckOnly)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << "endivepathd: can't read settings file " << path << '\n';
+        return EXIT_USAGE;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    Settings::FaultList faults;
+    auto settings = Settings::parseDaemonSettings(text.str(), faults);
+    if (!settings) {
+        for (const Settings::Fault &it : faults.faults())
+            std::cerr << path << ": " << it.path << ": " << it.message << '\n';
+        return EXIT_USAGE;
+    }
+    if (isCheckOnly)
+        return EXIT_OK;
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon::DaemonProcess daemon(std::move(*settings));
+    const absl::Status status = daemon.run();
+    if (!status.ok()) {
+        std::cerr << "endivepathd: " << status.message() << '\n';
+        return EXIT_START_FAILED;
+    }
+    return EXIT_OK;
+}
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("endivepathd", "Dispatcher for sub-second tasks");
+    options.add_options()("settings", "Settings file", cxxopts::value<std::string>());
+    options.add_options()("check", "Check the settings file and exit");
+    options.add_options()("h,help", "Print this text");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return EXIT_OK;
+        }
+        if (arguments.count("settings") == 0) {
+            std::cerr << "endivepathd: --settings FILE is needed; see --help\n";
+            return EXIT_USAGE;
+        }
+        return run(arguments["settings"].as<std::string>(), arguments.count("check") > 0);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "endivepathd: " << error.what() << "; see --help\n";
+        return EXIT_USAGE;
+    }
+}
--- /dev/null
+++ b/src/libs/kernel/servicenames.h
@@ -0,0 +1,19 @@
+// Names under which the daemon's services find each other.
+#pragma once
+
+namespace Kernel::ServiceNames {
+
+constexpr char PLATFORM_CLIENT[] = "platformclient";
+constexpr char UPSTREAM_CLIENT[] = "upstreamclient";
+constexpr char PEER_LINK[] = "peerlink";
+constexpr char CLUSTER[] = "cluster";
+constexpr char MANIFEST[] = "manifest";
+constexpr char MEMBERSHIP[] = "membership";
+constexpr char OWNERSHIP[] = "ownership";
+constexpr char JOBS[] = "jobs";
+constexpr char REQUEST_ROUTER[] = "requestrouter";
+constexpr char CALLER_GATEWAY[] = "callergateway";
+constexpr char OPERATOR_GATEWAY[] = "operatorgateway";
+constexpr char TELEMETRY[] = "telemetry";
+
+} // namespace Kernel::ServiceNames
--- /dev/null
+++ b/src/plugins/callergateway/callergateway.h
@@ -0,0 +1,38 @@
+// The callers' HTTP port.
+#pragma once
+
+#include "requestrouter.h"
+
+#include <http/server.h>
+#include <kernel/service.h>
+#include <settings/runtime.h>
+
+#include <memory>
+
+namespace CallerGateway {
+
+/// Serves the callers' interface of docs/protocols.md, and the balancer's questions for health and
+/// readiness. Opens its port last and withdraws readiness first.
+class CallerGatewayService : public Kernel::Service
+{
+public:
+    explicit CallerGatewayService(const Settings::Runtime &runtime);
+
+    absl::Status start(const Kernel::ServiceRegistry &registry) override;
+    /// Withdraws readiness, then gives the balancer the notice period to send callers elsewhere.
+    void drain(std::function<void()> done) override;
+    void stop() override;
+
+    bool isReady() const;
+
+private:
+    void handle(const Http::Request &request, const Http::Respond &respond);
+
+    const Settings::Runtime m_runtime;
+    RequestRouter *m_router = nullptr;
+    ManifestService::ManifestHolder *m_manifest = nullptr;
+    Cluster::ClusterView *m_cluster = nullptr;
+    std::unique_ptr<Http::Server> m_server;
+};
+
+} // namespace CallerGateway
--- /dev/null
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -0,0 +1,197 @@
+// Wiring of coordinator and scheduler, and the hand-over at shutdown.
+#include "jobservice.h"
+
+#include "slotpartition.h"
+
+#include <base/failure.h>
+#include <base/log.h>
+#include <base/softassert.h>
+#include <kernel/servicenames.h>
+#include <kernel/serviceregistry.h>
+#include <peerlink/peerlink.h>
+#include <upstreamclient/upstreamclient.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace JobService {
+
+using Base::FailureCode;
+
+/// The set of live daemons and leaving hosts is looked at this often.
+static constexpr std::chrono::milliseconds AVAILABILITY_INTERVAL_MS{500};
+static constexpr std::chrono::milliseconds DRAIN_CHECK_MS{50};
+static constexpr std::chrono::milliseconds HAND_OVER_RETRY_MS{500};
+
+JobServiceImpl::JobServiceImpl(const Settings::Runtime &runtime, Jobs::JobObserver &observer)
+    : m_runtime(runtime)
+    , m_observer(observer)
+{}
+
+JobServiceImpl::~JobServiceImpl() = default;
+
+absl::Status JobServiceImpl::start(const Kernel::ServiceRegistry &registry)
+{
+    namespace Names = Kernel::ServiceNames;
+    auto *link = registry.find<PeerLink::PeerLinkService>(Names::PEER_LINK);
+    auto *workers = registry.find<Jobs::WorkerPort>(Names::UPSTREAM_CLIENT);
+    auto *manifest = registry.find<ManifestService::ManifestHolder>(Names::MANIFEST);
+    m_cluster = registry.find<Cluster::ClusterView>(Names::CLUSTER);
+    m_membership = registry.find<Membership::MembershipService>(Names::MEMBERSHIP);
+    m_ownership = registry.find<OwnershipService::OwnershipServiceImpl>(Names::OWNERSHIP);
+    EP_ASSERT(link && workers && manifest && m_cluster && m_membership && m_ownership,
+              return Base::makeFailure(FailureCode::Internal, "jobs: missing service"));
+    const Settings::LimitSettings &limits = m_runtime.settings.limits;
+    Scheduling::SchedulerOptions options;
+    options.maxQueuedTasks = limits.maxQueuedTasks;
+    m_scheduler = std::make_unique<Scheduling::QueueScheduler>(
+        m_runtime.timers, *this, Scheduling::makeFastestFreePolicy(), options);
+    Jobs::CoordinatorLimits coordinatorLimits;
+    coordinatorLimits.maxTasksPerJob = limits.maxTasksPerJob;
+    coordinatorLimits.maxConcurrentRequests = limits.maxConcurrentJobs;
+    coordinatorLimits.maxRecordBytes = limits.maxRecordBytes;
+    coordinatorLimits.retention = limits.retention;
+    m_coordinator = std::make_unique<Jobs::Coordinator>(
+        Jobs::CoordinatorContext{m_runtime.timers, *workers, *link, *m_ownership, *m_scheduler,
+                                 m_observer, m_runtime.settings.domain},
+        coordinatorLimits);
+    link->addListener(this);
+    m_cluster->setLoadProvider([this] { return m_scheduler->queuedCount(); });
+    m_membership->observe([this] { updateAvailability(); });
+    m_ownership->setObserver(this);
+    manifest->observe([this](const ManifestService::ManifestHolder::Snapshot &snapshot) {
+        m_manifest = snapshot;
+        m_coordinator->setManifest(snapshot);
+        updateAvailability();
+    });
+    m_availabilityTimer =
+        m_runtime.timers.schedule(AVAILABILITY_INTERVAL_MS, [this] { updateAvailability(); });
+    return absl::OkStatus();
+}
+
+void JobServiceImpl::stop()
+{
+    m_runtime.timers.cancel(m_availabilityTimer);
+}
+
+void JobServiceImpl::updateAvailability()
+{
+    m_runtime.timers.cancel(m_availabilityTimer);
+    m_availabilityTimer =
+        m_runtime.timers.schedule(AVAILABILITY_INTERVAL_MS, [this] { updateAvailability(); });
+    if (!m_manifest)
+        return;
+    // All configured daemons of the domain have a share, also while they are down: a daemon that is
+    // only cut off still uses its slots.
+    std::vector<Base::DaemonId> daemons{m_runtime.settings.daemon};
+    for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
+        if (it.domain == m_runtime.settings.domain)
+            daemons.push_back(it.daemon);
+    }
+    std::map<Base::UpstreamId, Scheduling::UpstreamAvailability> availability;
+    for (const auto &[upstream, slots] : slotPartition(*m_manifest, m_runtime.settings.domain,
+                                                       daemons, m_runtime.settings.daemon)) {
+        const std::string &host = m_manifest->upstreams.at(upstream).host;
+        const bool isLive = m_membership->hostState(host) == Platform::HostState::Live;
+        availability[upstream] = {slots, !isLive};
+    }
+    m_scheduler->setAvailability(availability);
+}
+
+void JobServiceImpl::startTask(Scheduling::TaskHandle task, const Base::UpstreamId &upstream)
+{
+    m_coordinator->startTask(task, upstream);
+}
+
+void JobServiceImpl::peerMessageReceived(const Wire::PeerIdentity &from,
+                                         const Wire::Message &message)
+{
+    if (const auto *replicate = std::get_if<Wire::Replicate>(&message))
+        m_coordinator->recordsReceived(from, *replicate);
+    else if (const auto *ack = std::get_if<Wire::ReplicateAck>(&message))
+        m_coordinator->acknowledgementReceived(from, *ack);
+}
+
+void JobServiceImpl::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch,
+                                   bool completeKnowledge)
+{
+    Base::log(completeKnowledge ? Base::LogLevel::Info : Base::LogLevel::Error, "shardAcquired",
+              {{"shard", shard}, {"epoch", epoch}, {"completeKnowledge", completeKnowledge}});
+    m_coordinator->shardAcquired(shard, epoch, completeKnowledge);
+}
+
+void JobServiceImpl::shardLost(Base::ShardIndex shard)
+{
+    Base::log(Base::LogLevel::Warning, "shardLost", {{"shard", shard}});
+    m_coordinator->shardLost(shard);
+}
+
+void JobServiceImpl::requiredReplicasChanged(Base::ShardIndex shard)
+{
+    m_coordinator->requiredReplicasChanged(shard);
+}
+
+void JobServiceImpl::replicaJoinWanted(Base::ShardIndex shard, const Base::DaemonId &daemon,
+                                       Base::Incarnation incarnation)
+{
+    m_coordinator->replicaJoinWanted(shard, daemon, incarnation);
+}
+
+void JobServiceImpl::drain(std::function<void()> done)
+{
+    m_drained = std::move(done);
+    m_drainDeadline = m_runtime.timers.now() + m_runtime.settings.drain.grace;
+    handOverShards();
+    checkDrained();
+}
+
+void JobServiceImpl::handOverShards()
+{
+    for (const Wire::OwnedShard &it : m_ownership->ownedShards())
+        handOverShard(Base::ShardIndex(it.shard));
+    m_runtime.timers.schedule(HAND_OVER_RETRY_MS, [this] {
+        if (m_drained)
+            handOverShards();
+    });
+}
+
+void JobServiceImpl::handOverShard(Base::ShardIndex shard)
+{
+    const auto replicas = m_ownership->requiredReplicas(shard);
+    const auto target =
+        std::find_if(replicas.begin(), replicas.end(), [this](const Base::DaemonId &it) {
+            const auto state = m_cluster->peers().find(it);
+            return m_cluster->isAlive(it) && !state->second.isDraining;
+        });
+    if (target == replicas.end())
+        return;
+    m_coordinator->holdShard(shard);
+    m_ownership->ownership()->handOver(shard, *target, [this, shard](const absl::Status &status) {
+        if (status.ok())
+            return;
+        Base::log(Base::LogLevel::Warning, "handOverFailed",
+                  {{"shard", shard}, {"reason", Base::failureMessage(status)}});
+        m_hasHandOverFailed = true;
+        m_coordinator->resumeShard(shard);
+    });
+}
+
+void JobServiceImpl::checkDrained()
+{
+    const bool isDone = m_coordinator->activeCount() == 0 && m_ownership->ownedShards().empty();
+    // With the platform away a shard can't be handed over; its work is finished here instead.
+    const bool isAlone =
+        m_coordinator->activeCount() == 0
+        && (m_hasHandOverFailed || m_cluster->reachableDaemons(m_runtime.settings.domain).empty());
+    if (isDone || isAlone || m_runtime.timers.now() >= m_drainDeadline) {
+        if (!isDone && !isAlone) {
+            Base::log(Base::LogLevel::Error, "drainIncomplete",
+                      {{"requests", m_coordinator->activeCount()}});
+        }
+        std::exchange(m_drained, {})();
+        return;
+    }
+    m_runtime.timers.schedule(DRAIN_CHECK_MS, [this] { checkDrained(); });
+}
+
+} // namespace JobService
--- /dev/null
+++ b/src/plugins/jobservice/jobservice.h
@@ -0,0 +1,67 @@
+// The jobs library and the scheduler as a service.
+#pragma once
+
+#include <cluster/clusterview.h>
+#include <jobs/coordinator.h>
+#include <kernel/service.h>
+#include <manifestservice/manifestservice.h>
+#include <membership/membershipservice.h>
+#include <ownership/ownershipobserver.h>
+#include <ownershipservice/ownershipservice.h>
+#include <scheduling/queuescheduler.h>
+#include <settings/runtime.h>
+
+#include <memory>
+
+namespace JobService {
+
+/// Owns coordinator and scheduler and feeds them ownership, membership and peer messages.
+class JobServiceImpl : public Kernel::Service,
+                       public Wire::PeerListener,
+                       public Ownership::OwnershipObserver,
+                       public Scheduling::TaskStarter
+{
+public:
+    JobServiceImpl(const Settings::Runtime &runtime, Jobs::JobObserver &observer);
+    ~JobServiceImpl() override;
+
+    absl::Status start(const Kernel::ServiceRegistry &registry) override;
+    /// Hands the owned shards over, or finishes their work if that is not possible.
+    void drain(std::function<void()> done) override;
+    void stop() override;
+
+    Jobs::Coordinator &coordinator() { return *m_coordinator; }
+    const Scheduling::QueueScheduler &scheduler() const { return *m_scheduler; }
+
+    // Wire::PeerListener
+    void peerMessageReceived(const Wire::PeerIdentity &from, const Wire::Message &message) override;
+    // Ownership::OwnershipObserver
+    void shardAcquired(Base::ShardIndex shard, Base::Epoch epoch, bool completeKnowledge) override;
+    void shardLost(Base::ShardIndex shard) override;
+    void requiredReplicasChanged(Base::ShardIndex shard) override;
+    void replicaJoinWanted(Base::ShardIndex shard, const Base::DaemonId &daemon,
+                           Base::Incarnation incarnation) override;
+    // Scheduling::TaskStarter
+    void startTask(Scheduling::TaskHandle task, const Base::UpstreamId &upstream) override;
+
+private:
+    void updateAvailability();
+    void handOverShards();
+    void handOverShard(Base::ShardIndex shard);
+    void checkDrained();
+
+    const Settings::Runtime m_runtime;
+    Jobs::JobObserver &m_observer;
+    Cluster::ClusterView *m_cluster = nullptr;
+    Membership::MembershipService *m_membership = nullptr;
+    OwnershipService::OwnershipServiceImpl *m_ownership = nullptr;
+    ManifestService::ManifestHolder::Snapshot m_manifest;
+    std::unique_ptr<Scheduling::QueueScheduler> m_scheduler;
+    std::unique_ptr<Jobs::Coordinator> m_coordinator;
+    Base::TimerId m_availabilityTimer;
+    std::function<void()> m_drained; // set while draining
+    Base::TimePoint m_drainDeadline;
+    bool m_hasHandOverFailed = false;
+};
+
+} // namespace JobService
--- /dev/null
+++ b/src/plugins/membership/membershipservice.cpp
@@ -0,0 +1,65 @@
+// Polling of the host list.
+#include "membershipservice.h"
+
+#include <base/failure.h>
+#include <base/log.h>
+#include <base/softassert.h>
+#include <kernel/servicenames.h>
+#include <kernel/serviceregistry.h>
+
+namespace Membership {
+
+/// A leaving upstream gets no new work after 3 s; the poll may use a third of that.
+static constexpr std::chrono::milliseconds POLL_INTERVAL_MS{1000};
+
+MembershipService::MembershipService(const Settings::Runtime &runtime)
+    : m_runtime(runtime)
+{}
+
+absl::Status MembershipService::start(const Kernel::ServiceRegistry &registry)
+{
+    m_source = registry.find<Platform::MembershipSource>(Kernel::ServiceNames::PLATFORM_CLIENT);
+    EP_ASSERT(m_source, return Base::makeFailure(Base::FailureCode::Internal, "no platform client"));
+    poll();
+    return absl::OkStatus();
+}
+
+void MembershipService::stop()
+{
+    m_runtime.timers.cancel(m_timer);
+}
+
+void MembershipService::poll()
+{
+    m_timer = m_runtime.timers.schedule(POLL_INTERVAL_MS, [this] { poll(); });
+    m_source->fetchHosts(
+        [this](const absl::Status &status, const std::vector<Platform::HostEntry> &entries) {
+            if (!status.ok())
+                return;
+            std::map<std::string, Platform::HostState> hosts;
+            for (const Platform::HostEntry &it : entries)
+                hosts[it.host] = it.state;
+            m_receivedAt = m_runtime.timers.now();
+            if (hosts == m_hosts)
+                return;
+            m_hosts = std::move(hosts);
+            Base::log(Base::LogLevel::Info, "membershipChanged", {{"hosts", m_hosts.size()}});
+            for (const Observer &it : m_observers)
+                it();
+        });
+}
+
+Platform::HostState MembershipService::hostState(const std::string &host) const
+{
+    const auto it = m_hosts.find(host);
+    return it == m_hosts.end() ? Platform::HostState::Live : it->second;
+}
+
+std::optional<Base::Duration> MembershipService::age() const
+{
+    if (!m_receivedAt)
+        return {};
+    return m_runtime.timers.now() - *m_receivedAt;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/plugins/peerlink/outboundconnection.h
@@ -0,0 +1,62 @@
+// The connection on which this daemon sends to one peer.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <settings/runtime.h>
+#include <wire/codec.h>
+#include <wire/messages.h>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace PeerLink {
+
+/// Dials one peer and keeps the connection up. Frames that were queued when a connection breaks are
+/// lost. Shared ownership keeps it alive while the loop holds callbacks.
+class OutboundConnection : public std::enable_shared_from_this<OutboundConnection>
+{
+public:
+    /// Called when the connection has become usable, or has stopped being so.
+    using StateCallback = std::function<void(const Settings::PeerSettings &, bool isUp)>;
+
+    OutboundConnection(const Settings::Runtime &runtime, Settings::PeerSettings peer,
+                       StateCallback stateChanged);
+
+    void start();
+    void close();
+
+    /// Returns false if the connection is down or its queue is full.
+    bool send(std::string frame);
+    bool isUp() const { return m_isUp; }
+
+private:
+    void dial();
+    void greet();
+    void awaitHello();
+    void helloReceived(const Wire::Hello &hello);
+    void watchForClose();
+    void write();
+    void fail(const char *reason);
+
+    const Settings::Runtime m_runtime;
+    const Settings::PeerSettings m_peer;
+    StateCallback m_stateChanged;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::array<char, 4096> m_readBuffer{};
+    Wire::FrameDecoder m_decoder;
+    Wire::Hello m_ownHello;
+    std::deque<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;  // sum over m_queue
+    std::size_t m_inWrite = 0;      // frames at the front of m_queue that are being written
+    std::uint64_t m_generation = 0; // tells callbacks of an earlier connection
+    bool m_isUp = false;
+    bool m_isClosed = false;
+};
+
+} // namespace PeerLink
--- /dev/null
+++ b/src/plugins/peerlink/peerlink.cpp
@@ -0,0 +1,119 @@
+// Accepting, dispatching and sending.
+#include "peerlink.h"
+
+#include "peerlinkconstants.h"
+
+#include <base/failure.h>
+#include <base/log.h>
+#include <wire/codec.h>
+
+#include <utility>
+
+namespace PeerLink {
+
+PeerLinkService::PeerLinkService(const Settings::Runtime &runtime)
+    : m_runtime(runtime)
+    , m_acceptor(runtime.io)
+{}
+
+PeerLinkService::~PeerLinkService()
+{
+    PeerLinkService::stop();
+}
+
+absl::Status PeerLinkService::start(const Kernel::ServiceRegistry &)
+{
+    const Settings::Endpoint &own = m_runtime.settings.peerEndpoint;
+    try {
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(own.address), own.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    } catch (const std::exception &error) {
+        return Base::makeFailure(Base::FailureCode::InvalidSettings,
+                                 std::string("can't listen on the peer port: ") + error.what());
+    }
+    accept();
+    for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
+        auto connection = std::make_shared<OutboundConnection>(
+            m_runtime, it,
+            [this](const Settings::PeerSettings &peer, bool isUp) { stateChanged(peer, isUp); });
+        m_outbound.emplace(it.daemon, connection);
+        connection->start();
+    }
+    return absl::OkStatus();
+}
+
+void PeerLinkService::stop()
+{
+    asio::error_code ec;
+    m_acceptor.close(ec);
+    for (const auto &[daemon, connection] : std::exchange(m_outbound, {}))
+        connection->close();
+    for (const auto &[id, connection] : std::exchange(m_inbound, {}))
+        connection->close();
+}
+
+void PeerLinkService::addListener(Wire::PeerListener *listener)
+{
+    m_listeners.push_back(listener);
+}
+
+void PeerLinkService::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec && m_inbound.size() < Constants::MAX_INBOUND_CONNECTIONS) {
+            const std::uint64_t id = ++m_lastInbound;
+            auto connection = std::make_shared<InboundConnection>(
+                m_runtime, std::move(socket), id,
+                [this](const Wire::PeerIdentity &from, const Wire::Message &message) {
+                    messageReceived(from, message);
+                },
+                [this](std::uint64_t ended) { m_inbound.erase(ended); });
+            m_inbound.emplace(id, connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void PeerLinkService::messageReceived(const Wire::PeerIdentity &from, const Wire::Message &message)
+{
+    for (Wire::PeerListener *it : m_listeners)
+        it->peerMessageReceived(from, message);
+}
+
+void PeerLinkService::stateChanged(const Settings::PeerSettings &peer, bool isUp)
+{
+    if (isUp) {
+        Base::log(Base::LogLevel::Info, "peerConnected", {{"peer", peer.daemon}});
+        return;
+    }
+    for (Wire::PeerListener *it : m_listeners)
+        it->peerDisconnected({peer.daemon, peer.domain, {}});
+}
+
+bool PeerLinkService::send(const Base::DaemonId &peer, const Wire::Message &message)
+{
+    const auto it = m_outbound.find(peer);
+    if (it == m_outbound.end() || !it->second->isUp())
+        return false;
+    std::string frame = Wire::encodeFrame(message);
+    const std::size_t n = frame.size();
+    if (!it->second->send(std::move(frame)))
+        return false;
+    m_sentBytes += n;
+    ++m_sentMessages;
+    return true;
+}
+
+bool PeerLinkService::isConnected(const Base::DaemonId &peer) const
+{
+    const auto it = m_outbound.find(peer);
+    return it != m_outbound.end() && it->second->isUp();
+}
+
+} // namespace PeerLink
--- /dev/null
+++ b/src/plugins/peerlink/peerlink.h
@@ -0,0 +1,54 @@
+// Connections to all other daemons.
+#pragma once
+
+#include "inboundconnection.h"
+#include "outboundconnection.h"
+
+#include <asio/ip/tcp.hpp>
+#include <kernel/service.h>
+#include <settings/runtime.h>
+#include <wire/peerport.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace PeerLink {
+
+/// Sends on connections that it dials and receives on those that it accepts, so each pair of
+/// daemons has one connection for each direction.
+class PeerLinkService : public Kernel::Service, public Wire::PeerPort
+{
+public:
+    explicit PeerLinkService(const Settings::Runtime &runtime);
+    ~PeerLinkService() override;
+
+    absl::Status start(const Kernel::ServiceRegistry &registry) override;
+    void stop() override;
+
+    /// Every listener receives every message, in the order of their addition. Listeners outlive the
+    /// service's stop().
+    void addListener(Wire::PeerListener *listener);
+
+    bool send(const Base::DaemonId &peer, const Wire::Message &message) override;
+    bool isConnected(const Base::DaemonId &peer) const override;
+
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+    std::uint64_t sentMessages() const { return m_sentMessages; }
+
+private:
+    void accept();
+    void messageReceived(const Wire::PeerIdentity &from, const Wire::Message &message);
+    void stateChanged(const Settings::PeerSettings &peer, bool isUp);
+
+    const Settings::Runtime m_runtime;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::map<Base::DaemonId, std::shared_ptr<OutboundConnection>> m_outbound;
+    std::map<std::uint64_t, std::shared_ptr<InboundConnection>> m_inbound;
+    std::uint64_t m_lastInbound = 0;
+    std::vector<Wire::PeerListener *> m_listeners;
+    std::uint64_t m_sentBytes = 0;
+    std::uint64_t m_sentMessages = 0;
+};
+
+} // namespace PeerLink
--- /dev/null
+++ b/src/plugins/upstreamclient/upstreamclient.h
@@ -0,0 +1,40 @@
+// Orders to workers over HTTP.
+#pragma once
+
+#include <http/client.h>
+#include <jobs/workerport.h>
+#include <kernel/service.h>
+#include <settings/runtime.h>
+
+#include <map>
+#include <string>
+
+namespace UpstreamClient {
+
+/// Speaks the worker protocol of docs/protocols.md with the upstreams of the manifest in force.
+class UpstreamClientService : public Kernel::Service, public Jobs::WorkerPort
+{
+public:
+    explicit UpstreamClientService(const Settings::Runtime &runtime);
+
+    absl::Status start(const Kernel::ServiceRegistry &registry) override;
+
+    void start(const Base::UpstreamId &upstream, const Jobs::StartOrder &order,
+               StartCallback callback) override;
+    void awaitTask(const Base::UpstreamId &upstream, const Jobs::TaskName &task,
+                   Base::Duration wait, ReportsCallback callback) override;
+    void revoke(const Base::UpstreamId &upstream, const std::vector<Jobs::TaskName> &tasks,
+                ReportsCallback callback) override;
+    void stop(const Base::UpstreamId &upstream, const std::vector<Jobs::TaskName> &tasks) override;
+    void fence(const Base::UpstreamId &upstream, const Base::ShardId &shard, Base::Epoch epoch,
+               FenceCallback callback) override;
+
+private:
+    Http::ClientRequest makeRequest(const Base::UpstreamId &upstream, std::string_view method,
+                                    std::string_view path) const;
+
+    Http::Client m_client;
+    std::map<Base::UpstreamId, std::string> m_urls; // also of upstreams that left the manifest
+};
+
+} // namespace UpstreamClient
