Command line: checks, operator commands and job commands

Cause: operators have no tool to check files or to operate daemons.

Change: endivepath with manifest check, diff, submit, show and status, settings check, status, drain, shard recover, log-level, timeline (prints the fetched events), and job submit, status and cancel. Options are parsed by cxxopts from a table of commands; requests go through a blocking libcurl client. The token comes from a file or the environment. The next daemon is tried only if no connection to the previous one was made.

Ruled out: the revision in force as the default parent of a submission, which would overwrite a change that the operator has not seen; draining several daemons by one command; a proxy from the environment, which would see the token; cxxopts lists split at commas, which break file names.

Conclusion: the commands work against canned replies; a run against a daemon waits for the daemon.

--- /dev/null
+++ b/src/app/endivepath/command.h
@@ -0,0 +1,37 @@
+// Description of the commands, from which the parser, the help text and the dispatch are made.
+#pragma once
+
+#include "invocation.h"
+#include "output.h"
+
+#include <string>
+#include <vector>
+
+namespace CommandLine {
+
+struct Option
+{
+    std::string name;
+    std::string placeholder; // of the value; empty for a switch
+    std::string help;
+};
+
+struct Command
+{
+    std::string name;      // one or two words
+    std::string arguments; // as in the help text
+    std::string summary;
+    std::size_t minArguments = 0;
+    std::size_t maxArguments = 0;
+    std::vector<Option> options; // --help and --output are added to all
+    ExitCode (*run)(const Invocation &, Output &) = nullptr;
+};
+
+/// Commands that read files only.
+std::vector<Command> fileCommands();
+/// Commands that call daemons at their operator ports.
+std::vector<Command> operatorCommands();
+/// Commands that call a daemon at its caller port.
+std::vector<Command> jobCommands();
+
+} // namespace CommandLine
--- /dev/null
+++ b/src/app/endivepath/commandline.h
@@ -0,0 +1,13 @@
+// The operators' command line.
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace CommandLine {
+
+/// Runs the command given by \a arguments, without the program's name, and returns the exit code.
+int runCommandLine(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err);
+
+} // namespace CommandLine
--- /dev/null
+++ b/src/app/endivepath/main.cpp
@@ -0,0 +1,9 @@
+// Entry point of the operators' command line.
+#include "commandline.h"
+
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    return CommandLine::runCommandLine({argv + 1, argv + argc}, std::cout, std::cerr);
+}
