Ownership: shard rows, leases by promises, takeover

Cause: jobs need one owner per shard that survives the platform's absence, lost replies, pauses and restarts.

Change: the library ownership. LeaseLedger keeps the promises received and since when they are unbroken, PromiseBook the promises given, RowWriter one conditional write until its result is known, Shard the state and next step of one shard, ShardOwnership the public interface. Fakes of the table, the peer network and a process with pausable timers, and 20 table tests, one or more for each hazard of the design.

A promise names no shard, so after a lapse it does not show that the replica has not taken over. The lease therefore holds only if the promises of every required replica are unbroken since before the row was last read or written.

Ruled out: a list of shards in each promise (larger messages, and the wire format would depend on it); resuming after a lapse without a read (two holders, see lapsedLeaseNeedsTheRow); resuming the same epoch after a refusal (the replica may have refused records, so the owner renews under the next epoch as sole replica).

--- /dev/null
+++ b/src/libs/ownership/leaseledger.cpp
@@ -0,0 +1,71 @@
+// Bookkeeping of lease requests and promises.
+#include "leaseledger.h"
+
+#include "ownershipconstants.h"
+
+#include <base/hash.h>
+
+#include <algorithm>
+#include <string>
+
+namespace Ownership::Internal {
+
+LeaseLedger::LeaseLedger(Base::Incarnation incarnation)
+    : m_sequence(Base::stableHash(std::to_string(incarnation.value())))
+{}
+
+Stamp LeaseLedger::nextStamp()
+{
+    m_stamp = m_stamp.next();
+    return m_stamp;
+}
+
+std::uint64_t LeaseLedger::beginRound(Base::TimePoint now)
+{
+    std::erase_if(m_sent, [now](const auto &it) { return now - it.second >= Constants::LEASE_MS; });
+    std::erase_if(m_chains, [now](const auto &it) {
+        return now - it.second.received >= Constants::PROMISE_MEMORY_MS;
+    });
+    m_sent.emplace(++m_sequence, now);
+    return m_sequence;
+}
+
+void LeaseLedger::promiseReceived(const Platform::Replica &from, std::uint64_t sequence,
+                                  Base::TimePoint now)
+{
+    const auto sent = m_sent.find(sequence);
+    if (sent == m_sent.end() || now - sent->second >= Constants::LEASE_MS)
+        return;
+    const bool unbroken = isValid(from, now);
+    Chain &chain = m_chains[{from.daemon, from.incarnation}];
+    if (!unbroken)
+        chain.start = nextStamp();
+    chain.requestSent = std::max(chain.requestSent, sent->second);
+    chain.received = now;
+}
+
+bool LeaseLedger::isValid(const Platform::Replica &replica, Base::TimePoint now) const
+{
+    const Chain *chain = findChain(replica);
+    return chain && now - chain->requestSent < Constants::LEASE_MS;
+}
+
+bool LeaseLedger::isUnbrokenSince(const Platform::Replica &replica, Stamp stamp,
+                                  Base::TimePoint now) const
+{
+    return isValid(replica, now) && findChain(replica)->start < stamp;
+}
+
+std::optional<Base::TimePoint> LeaseLedger::lastPromise(const Platform::Replica &replica) const
+{
+    const Chain *chain = findChain(replica);
+    return chain ? std::optional(chain->received) : std::nullopt;
+}
+
+const LeaseLedger::Chain *LeaseLedger::findChain(const Platform::Replica &replica) const
+{
+    const auto it = m_chains.find({replica.daemon, replica.incarnation});
+    return it == m_chains.end() ? nullptr : &it->second;
+}
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/promisebook.cpp
@@ -0,0 +1,28 @@
+// Bookkeeping of promises given.
+#include "promisebook.h"
+
+#include "ownershipconstants.h"
+
+namespace Ownership::Internal {
+
+void PromiseBook::promise(const Platform::Replica &owner, Base::TimePoint now)
+{
+    std::erase_if(m_promisedAt, [now](const auto &it) {
+        return now - it.second >= Constants::PROMISE_MEMORY_MS;
+    });
+    m_promisedAt[{owner.daemon, owner.incarnation}] = now;
+}
+
+bool PromiseBook::isBound(const Platform::Replica &owner, Base::TimePoint now) const
+{
+    const std::optional<Base::TimePoint> promisedAt = lastPromise(owner);
+    return promisedAt && now - *promisedAt < Constants::PROMISE_MS;
+}
+
+std::optional<Base::TimePoint> PromiseBook::lastPromise(const Platform::Replica &owner) const
+{
+    const auto it = m_promisedAt.find({owner.daemon, owner.incarnation});
+    return it == m_promisedAt.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/promisebook.h
@@ -0,0 +1,28 @@
+// The replica's side of the lease: promises given to owners.
+#pragma once
+
+#include <base/timers.h>
+#include <platform/shardrow.h>
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace Ownership::Internal {
+
+/// Promises are kept per incarnation of the owner: a restarted owner holds no lease under a row
+/// that lists its earlier incarnation, and must not delay the takeover of that row.
+class PromiseBook
+{
+public:
+    void promise(const Platform::Replica &owner, Base::TimePoint now);
+    /// Whether a promise forbids a takeover write now.
+    bool isBound(const Platform::Replica &owner, Base::TimePoint now) const;
+    /// When the latest promise was given; empty if longer ago than Constants::PROMISE_MEMORY_MS.
+    std::optional<Base::TimePoint> lastPromise(const Platform::Replica &owner) const;
+
+private:
+    std::map<std::pair<Base::DaemonId, Base::Incarnation>, Base::TimePoint> m_promisedAt;
+};
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/rowwriter.h
@@ -0,0 +1,81 @@
+// One conditional write of a shard row, repeated until its result is known.
+#pragma once
+
+#include "leaseledger.h"
+
+#include <absl/status/status.h>
+#include <base/timers.h>
+#include <platform/shardrow.h>
+#include <platform/table.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Ownership::Internal {
+
+enum class WriteKind { Create, TakeOver, AddReplica, RemoveReplicas, HandOver, Renew, Recover };
+
+std::string_view writeKindName(WriteKind kind);
+
+/// An intended change of a row.
+struct RowWrite
+{
+    WriteKind kind = WriteKind::Create;
+    Platform::ShardRow target;
+    std::uint64_t expectedVersion = 0;
+    /// The owner of the row that the write replaces; empty for a new row.
+    Base::DaemonId previousOwner;
+    /// Called with OK if the write took effect, otherwise with the typed failure.
+    std::function<void(const absl::Status &)> done;
+};
+
+/// Holds at most one write. A write with an unknown result stays pending, as it may still take
+/// effect, until a repetition under its transaction id is answered or the row is seen at a higher
+/// version.
+class RowWriter
+{
+public:
+    /// Called with the write, its result, and the row's version and the stamp of its first sending
+    /// if it took effect.
+    using Resolved =
+        std::function<void(RowWrite write, const absl::Status &, std::uint64_t version, Stamp)>;
+
+    RowWriter(Platform::Table &table, Base::Timers &timers, std::string key, Resolved resolved);
+
+    bool isPending() const { return m_write.has_value(); }
+    /// The pending write; only valid while isPending().
+    const RowWrite &write() const { return *m_write; }
+    bool isPending(WriteKind kind) const { return m_write && m_write->kind == kind; }
+    /// Whether only a read can resolve the write.
+    bool needsRead() const { return m_needsRead; }
+
+    void send(RowWrite write, std::string transaction, Stamp stamp);
+    /// Repeats the write if its result is unknown and the back-off has passed.
+    void repeatIfDue();
+    /// Resolves the write if \a row shows that it has taken effect or never will.
+    void observe(const Platform::Row &row);
+
+private:
+    void attempt();
+    void replied(const absl::Status &status, std::uint64_t version);
+    void resolve(const absl::Status &status, std::uint64_t version);
+
+    Platform::Table &m_table;
+    Base::Timers &m_timers;
+    const std::string m_key;
+    Resolved m_resolved;
+    std::optional<RowWrite> m_write;
+    std::string m_transaction;
+    Stamp m_stamp;
+    bool m_inFlight = false;
+    bool m_mayTakeEffect = false; // an earlier attempt has an unknown result
+    bool m_needsRead = false;
+    Base::TimePoint m_nextAttempt;
+    Base::Duration m_backoff{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // expires with this object
+};
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/shard.h
@@ -0,0 +1,132 @@
+// The state of one shard at this daemon, and what to do next about it.
+#pragma once
+
+#include "context.h"
+#include "rowwriter.h"
+
+#include <absl/status/status.h>
+#include <base/ids.h>
+#include <platform/shardrow.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Ownership::Internal {
+
+using Callback = std::function<void(const absl::Status &)>;
+
+/// Reads and writes the shard's row. Invariants, checked where they could break:
+/// - the lease is held only if the row, as last known, names this incarnation as the owner and
+/// every
+///   required replica is bound by a promise unbroken since before that row was last confirmed;
+/// - at most one write is pending;
+/// - the epoch of the known row never decreases.
+class Shard
+{
+public:
+    Shard(Context &context, Base::ShardIndex index);
+    Shard(const Shard &) = delete;
+    Shard &operator=(const Shard &) = delete;
+
+    /// Does what is due. Called regularly and after every event that may matter.
+    void step();
+    /// Gives up the lease when the daemon stops.
+    void stop();
+
+    bool holdsLease() const;
+    std::optional<Base::Epoch> leasedEpoch() const;
+    bool hasCompleteKnowledge() const;
+    /// Whether the row names this incarnation as the owner.
+    bool isOwner() const;
+    /// Replicas whose promises are required now.
+    std::vector<Platform::Replica> requiredReplicas() const;
+    /// Replicas whose acknowledgements are required now: those above and the one that is joining,
+    /// as the copy that it was sent does not contain later records.
+    std::vector<Platform::Replica> requiredAcknowledgements() const;
+    /// Daemons whose promises are needed now or are about to be.
+    std::vector<Base::DaemonId> leaseRequestTargets() const;
+    Base::Epoch highestKnownEpoch() const;
+    const Base::DaemonId &highestKnownOwner() const { return m_highestOwner; }
+    Base::Epoch highestOwnerEpoch() const { return m_highestEpoch; }
+    /// Whether a write is unresolved that would take the shard from \a owner.
+    bool hasPendingTakeoverFrom(const Base::DaemonId &owner) const;
+    bool acceptsReplication(Base::Epoch epoch, const Wire::PeerIdentity &from);
+
+    /// Another daemon claims to own the shard at \a epoch.
+    void ownerSeen(Base::Epoch epoch, const Base::DaemonId &owner);
+    void ownershipRefused(Base::Epoch known);
+    void handOverReceived();
+    void addReplica(const Platform::Replica &replica, Callback callback);
+    void handOver(const Base::DaemonId &to, Callback callback);
+    void recover(Callback callback);
+
+private:
+    struct Join
+    {
+        Platform::Replica replica;
+        Base::TimePoint deadline;
+        Callback callback;
+    };
+
+    bool canServe() const;
+    void updateService();
+    void stopServing(std::string_view cause);
+
+    void read();
+    void readFinished(const absl::Status &status, const Platform::Row &row, Stamp stamp);
+    void adopt(std::optional<Platform::ShardRow> row, std::uint64_t version, Stamp stamp);
+    void backOff();
+    bool isRowFresh() const;
+
+    void write(WriteKind kind, Platform::ShardRow target, Callback done = {});
+    void writeResolved(const RowWrite &write, const absl::Status &status, std::uint64_t version,
+                       Stamp stamp);
+    Base::Epoch nextEpoch() const;
+
+    void stepMissing();
+    void stepOwner();
+    bool stepRemoval();
+    bool stepJoin();
+    void finishJoin(const absl::Status &status);
+    void announceJoins();
+    void stepCandidate();
+    void stepRecover();
+
+    Context &m_context;
+    const Base::ShardIndex m_index;
+    const std::string m_key;
+
+    bool m_rowKnown = false;                 // the row was read since the start
+    std::optional<Platform::ShardRow> m_row; // empty if unknown or missing
+    std::uint64_t m_version = 0;
+    Stamp m_rowStamp;                // the row was at m_version at some time after this
+    Base::TimePoint m_confirmedAt;   // last successful read or write
+    Base::TimePoint m_epochSeenAt;   // when m_row's epoch (or its absence) was first seen
+    Base::TimePoint m_readableSince; // reads have not failed since
+
+    bool m_reading = false;
+    bool m_readWanted = true;
+    Base::TimePoint m_nextTableAccess;
+    Base::Duration m_backoff;
+    RowWriter m_writer;
+
+    bool m_serving = false; // the observer was told that the shard is acquired
+    bool m_stopped = false; // nothing is read or written any more
+    bool m_refused = false; // may serve again only under a new epoch
+    /// The epoch of this daemon's latest ownership without the earlier records.
+    std::optional<Base::Epoch> m_incompleteEpoch;
+    Base::Epoch m_highestEpoch;
+    Base::DaemonId m_highestOwner;
+    std::vector<Platform::Replica> m_reportedReplicas; // as last told to the observer
+
+    std::optional<Join> m_join;
+    std::map<Base::DaemonId, Base::TimePoint> m_joinAnnouncedAt;
+    Callback m_recover;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // expires with this object
+};
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/tests/auto/ownership/daemoncluster.h
@@ -0,0 +1,287 @@
+// Several ShardOwnership objects over fakes, with the invariants that must hold at every instant.
+#pragma once
+
+#include <base/failure.h>
+#include <ownership/ownershipconstants.h>
+#include <ownership/shardownership.h>
+#include <platform/shardrow.h>
+#include <support/fakepeernetwork.h>
+#include <support/faketable.h>
+#include <support/processtimers.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace OwnershipTest {
+
+using namespace std::chrono_literals;
+using Base::DaemonId;
+using Base::Epoch;
+using Base::ShardIndex;
+using TestSupport::TableFault;
+
+const Base::FailureDomainId DOMAIN_ID("center");
+const ShardIndex SHARD(0);
+
+class DaemonCluster;
+
+/// One run of a daemon. Its records stand for those of the jobs library.
+class SimulatedDaemon : public Ownership::OwnershipObserver
+{
+public:
+    SimulatedDaemon(DaemonCluster &cluster, Wire::PeerIdentity identity,
+                    std::vector<DaemonId> peers);
+
+    void shardAcquired(ShardIndex shard, Epoch epoch, bool complete) override;
+    void shardLost(ShardIndex) override { ++lostCount; }
+    void requiredReplicasChanged(ShardIndex) override {}
+    void replicaJoinWanted(ShardIndex shard, const DaemonId &daemon,
+                           Base::Incarnation incarnation) override;
+
+    bool holds(ShardIndex shard = SHARD) const { return ownership.holdsLease(shard); }
+    bool requires_(const DaemonId &daemon) const
+    {
+        return std::ranges::count(ownership.requiredReplicas(SHARD), daemon) > 0;
+    }
+
+    DaemonCluster &cluster;
+    const Wire::PeerIdentity identity;
+    TestSupport::ProcessTimers timers;
+    TestSupport::FakeTableClient table;
+    TestSupport::FakePeerPort port;
+    std::map<ShardIndex, std::set<int>> records;
+    int lostCount = 0;
+    std::vector<bool> acquired; // completeKnowledge of each acquisition
+    Ownership::ShardOwnership ownership;
+
+private:
+    void sendHeartbeats();
+    std::vector<DaemonId> m_peers;
+};
+
+class DaemonCluster
+{
+public:
+    explicit DaemonCluster(std::initializer_list<const char *> names, std::size_t shardCount = 1)
+        : shards(shardCount)
+        , ids(names.begin(), names.end())
+    {
+        table.rowChanged = [this](const std::string &key, const Platform::Row &before,
+                                  const Platform::Row &after) { rowChanged(key, before, after); };
+    }
+
+    SimulatedDaemon &start(const DaemonId &id)
+    {
+        std::vector<DaemonId> peers = ids;
+        std::erase(peers, id);
+        daemons.erase(id);
+        auto &daemon = daemons[id];
+        daemon = std::make_unique<SimulatedDaemon>(
+            *this, Wire::PeerIdentity{id, DOMAIN_ID, Base::Incarnation(++lastIncarnation)}, peers);
+        daemon->ownership.start();
+        return *daemon;
+    }
+    void startAll()
+    {
+        for (const DaemonId &it : ids)
+            start(it);
+    }
+    void kill(const DaemonId &id) { daemons.erase(id); }
+
+    SimulatedDaemon *holder(ShardIndex shard = SHARD) const
+    {
+        for (const auto &[id, daemon] : daemons) {
+            if (daemon->holds(shard))
+                return daemon.get();
+        }
+        return nullptr;
+    }
+    /// Starts all and waits until the owner has all the others as replicas.
+    SimulatedDaemon &settle()
+    {
+        startAll();
+        run(5s);
+        SimulatedDaemon *owner = holder();
+        BOOST_REQUIRE(owner);
+        BOOST_REQUIRE(row().replicas.size() == ids.size());
+        return *owner;
+    }
+    /// Some daemon that is not \a not_.
+    SimulatedDaemon &other(const SimulatedDaemon &not_) const
+    {
+        for (const auto &[id, daemon] : daemons) {
+            if (daemon.get() != &not_)
+                return *daemon;
+        }
+        throw std::logic_error("no other daemon");
+    }
+
+    void run(Base::Duration duration, Base::Duration pace = 10ms)
+    {
+        for (Base::Duration done{}; done < duration; done += pace) {
+            clock.advance(pace);
+            check();
+        }
+    }
+
+    Platform::ShardRow row(ShardIndex shard = SHARD) const
+    {
+        const auto it = m_rows.find(shard);
+        return it == m_rows.end() ? Platform::ShardRow() : it->second;
+    }
+
+    /// The owner commits a record if all required replicas accept it.
+    void commitRecord(ShardIndex shard)
+    {
+        SimulatedDaemon *owner = holder(shard);
+        if (!owner || owner->timers.isPaused())
+            return;
+        const int record = ++lastRecord;
+        const Epoch epoch = *owner->ownership.leasedEpoch(shard);
+        owner->records[shard].insert(record);
+        for (const DaemonId &it : owner->ownership.requiredReplicas(shard)) {
+            if (!replicate(*owner, it, shard, epoch, {record}))
+                return;
+        }
+        committed[shard].insert(record);
+    }
+
+    bool replicate(SimulatedDaemon &owner, const DaemonId &to, ShardIndex shard, Epoch epoch,
+                   const std::set<int> &records)
+    {
+        const auto it = daemons.find(to);
+        if (it == daemons.end() || it->second->timers.isPaused()
+            || network.isCut(to, owner.identity.daemon)) {
+            return false;
+        }
+        SimulatedDaemon &replica = *it->second;
+        if (!replica.ownership.acceptsReplication(shard, epoch, owner.identity)) {
+            owner.ownership.ownershipRefused(shard, replica.ownership.highestKnownEpoch(shard));
+            return false;
+        }
+        replica.records[shard].insert(records.begin(), records.end());
+        return true;
+    }
+
+    void violation(const std::string &text)
+    {
+        BOOST_ERROR(text << " (seed " << seed << ")");
+        violated = true;
+    }
+
+    void check()
+    {
+        for (std::size_t i = 0; i < shards; ++i) {
+            const ShardIndex shard(i);
+            SimulatedDaemon *found = nullptr;
+            for (const auto &[id, daemon] : daemons) {
+                if (!daemon->holds(shard))
+                    continue;
+                if (found)
+                    violation("two daemons hold the lease of one shard");
+                found = daemon.get();
+            }
+            if (!found)
+                continue;
+            const auto required = found->ownership.requiredReplicas(shard);
+            for (const Platform::Replica &it : m_rows[shard].replicas) {
+                if (it.daemon != found->identity.daemon && !std::ranges::count(required, it.daemon))
+                    violation("a listed replica is not required");
+            }
+        }
+    }
+
+    TestSupport::ManualTimers clock;
+    TestSupport::FakeTable table{clock};
+    TestSupport::FakePeerNetwork network{clock};
+    const std::size_t shards;
+    const std::vector<DaemonId> ids;
+    std::map<DaemonId, std::unique_ptr<SimulatedDaemon>> daemons;
+    std::map<ShardIndex, std::set<int>> committed;
+    /// Replicas that were listed when each epoch was written.
+    std::map<std::pair<ShardIndex, Epoch>, std::vector<Platform::Replica>> listedBefore;
+    std::map<ShardIndex, std::pair<Epoch, Platform::Replica>> lastAcquired;
+    bool autoJoin = true;
+    bool violated = false;
+    std::uint64_t seed = 0;
+    std::uint64_t lastIncarnation = 0;
+    int lastRecord = 0;
+
+private:
+    void rowChanged(const std::string &key, const Platform::Row &before, const Platform::Row &after)
+    {
+        const auto old = Platform::decodeShardRow(before.value).value_or(Platform::ShardRow());
+        const auto row = Platform::decodeShardRow(after.value).value_or(Platform::ShardRow());
+        const ShardIndex shard(std::stoull(key.substr(key.rfind('/') + 1)));
+        m_rows[shard] = row;
+        if (row.epoch > old.epoch)
+            listedBefore[{shard, row.epoch}] = old.replicas;
+        else if (row.epoch < old.epoch || row.owner != old.owner)
+            violation("the owner changed without a higher epoch");
+    }
+
+    std::map<ShardIndex, Platform::ShardRow> m_rows; // decoded rows of the table
+};
+
+inline SimulatedDaemon::SimulatedDaemon(DaemonCluster &owner, Wire::PeerIdentity self,
+                                        std::vector<DaemonId> peers)
+    : cluster(owner)
+    , identity(std::move(self))
+    , timers(cluster.clock)
+    , table(cluster.table, timers)
+    , port(cluster.network, identity, timers)
+    , ownership({identity.daemon, identity.incarnation, DOMAIN_ID, cluster.shards, peers}, timers,
+                table, port, *this)
+    , m_peers(std::move(peers))
+{
+    port.setListener(&ownership);
+    sendHeartbeats();
+}
+
+inline void SimulatedDaemon::sendHeartbeats()
+{
+    for (const DaemonId &it : m_peers)
+        port.send(it, Wire::Heartbeat{0, ownership.ownedShards(), false, 0});
+    timers.schedule(500ms, [this] { sendHeartbeats(); });
+}
+
+inline void SimulatedDaemon::shardAcquired(ShardIndex shard, Epoch epoch, bool complete)
+{
+    acquired.push_back(complete);
+    const Platform::Replica self{identity.daemon, identity.incarnation};
+    const auto last = cluster.lastAcquired.find(shard);
+    if (last != cluster.lastAcquired.end()
+        && (epoch < last->second.first
+            || (epoch == last->second.first && !(self == last->second.second)))) {
+        cluster.violation("the epoch of owners did not grow");
+    }
+    cluster.lastAcquired[shard] = {epoch, self};
+    const auto &listed = cluster.listedBefore[{shard, epoch}];
+    if (complete && epoch > Epoch(1) && !std::ranges::count(listed, self))
+        cluster.violation("an unlisted incarnation claims complete knowledge");
+    std::set<int> &committed = cluster.committed[shard];
+    if (!complete)
+        committed = {};
+    if (!std::ranges::includes(records[shard], committed))
+        cluster.violation("a committed record is missing after an acquisition");
+}
+
+inline void SimulatedDaemon::replicaJoinWanted(ShardIndex shard, const DaemonId &daemon,
+                                               Base::Incarnation incarnation)
+{
+    const auto it = cluster.daemons.find(daemon);
+    if (!cluster.autoJoin || it == cluster.daemons.end()
+        || it->second->identity.incarnation != incarnation
+        || !cluster.replicate(*this, daemon, shard, *ownership.leasedEpoch(shard),
+                              records[shard])) {
+        return;
+    }
+    ownership.addReplica(shard, daemon, incarnation, [](const absl::Status &) {});
+}
+
+} // namespace OwnershipTest
