--- a/tests/auto/ownership/tst_ownership.cpp
+++ b/tests/auto/ownership/tst_ownership.cpp
@@ -247,6 +247,18 @@
     BOOST_TEST(cluster.row().epoch == Epoch(1));
 }
 
+// Guards against table accesses that grow with time or tasks.
+BOOST_AUTO_TEST_CASE(steadyStateNeedsNoWrites)
+{
+    DaemonCluster cluster({"a", "b", "c"});
+    cluster.settle();
+    const std::uint64_t reads = cluster.table.readCount;
+    const std::uint64_t writes = cluster.table.writeCount;
+    cluster.run(Constants::ROW_POLL_MS);
+    BOOST_TEST(cluster.table.writeCount == writes);
+    BOOST_TEST(cluster.table.readCount <= reads + 3U); // one regular read by each daemon
+}
+
 // Guards against a lease that comes back after a lapse without proof that nobody took over.
 BOOST_AUTO_TEST_CASE(lapsedLeaseNeedsTheRow)
 {
