Ownership: a lapsed lease returns without the platform

Cause: after a pause or a cut link of more than 1.5 s, an owner needed a read of the row, as a promise does not say whether the replica took over before it. In a domain that is cut off from the platform the shard stayed down until the platform returned, although all daemons lived.

Change: LeasePromise states how many takeover writes this run of the replica has sent. If the count is unchanged, the replica sent none between two promises, and the lease holds again without a read.

Ruled out: a list of the shards taken over in each promise (unbounded); a longer lease (takeover would exceed 3 s).

Conclusion: a lapse costs the shard only if a replica is lost or took over.

--- a/src/libs/ownership/context.h
+++ b/src/libs/ownership/context.h
@@ -40,6 +40,7 @@
     Base::TimePoint resumedAt{}; // end of the last pause of the process
     /// Set when a shard needs promises sooner than the next regular round.
     bool leaseRoundWanted = false;
+    std::uint64_t takeovers = 0;    // count of writes sent that take a shard from its owner
     std::uint64_t transactions = 0; // count of transaction ids issued
 
     Platform::Replica selfReplica() const { return {self, incarnation}; }
--- a/src/libs/ownership/leaseledger.cpp
+++ b/src/libs/ownership/leaseledger.cpp
@@ -30,18 +30,21 @@
     return m_sequence;
 }
 
-void LeaseLedger::promiseReceived(const Platform::Replica &from, std::uint64_t sequence,
+void LeaseLedger::promiseReceived(const Platform::Replica &from, const Wire::LeasePromise &promise,
                                   Base::TimePoint now)
 {
-    const auto sent = m_sent.find(sequence);
+    const auto sent = m_sent.find(promise.sequence);
     if (sent == m_sent.end() || now - sent->second >= Constants::LEASE_MS)
         return;
-    const bool unbroken = isValid(from, now);
+    const Chain *previous = findChain(from);
+    const bool unbroken =
+        isValid(from, now) || (previous && previous->takeovers == promise.takeovers);
     Chain &chain = m_chains[{from.daemon, from.incarnation}];
     if (!unbroken)
         chain.start = nextStamp();
     chain.requestSent = std::max(chain.requestSent, sent->second);
     chain.received = now;
+    chain.takeovers = promise.takeovers;
 }
 
 bool LeaseLedger::isValid(const Platform::Replica &replica, Base::TimePoint now) const
--- a/src/libs/ownership/leaseledger.h
+++ b/src/libs/ownership/leaseledger.h
@@ -3,6 +3,7 @@
 
 #include <base/timers.h>
 #include <platform/shardrow.h>
+#include <wire/messages.h>
 
 #include <cstdint>
 #include <map>
@@ -17,9 +18,9 @@
 
 /// A promise covers all shards of this daemon, so it does not say whether the replica has taken
 /// over one of them. The ledger therefore tracks since when the promises of a replica are unbroken:
-/// each arrived before the lease of the one before it had expired, so the replica was bound
-/// throughout. A row that was read after that start can't have been taken over by the replica
-/// since.
+/// each arrived before the lease of the one before it had expired, so that the replica was bound
+/// throughout, or states the same number of takeover writes as the one before it. A row that was
+/// read after that start can't have been taken over by the replica since.
 class LeaseLedger
 {
 public:
@@ -30,7 +31,7 @@
     Stamp nextStamp();
     /// Starts a round of requests; returns the sequence to send.
     std::uint64_t beginRound(Base::TimePoint now);
-    void promiseReceived(const Platform::Replica &from, std::uint64_t sequence,
+    void promiseReceived(const Platform::Replica &from, const Wire::LeasePromise &promise,
                          Base::TimePoint now);
 
     bool isValid(const Platform::Replica &replica, Base::TimePoint now) const;
@@ -44,6 +45,7 @@
         Base::TimePoint requestSent; // of the latest promised request
         Base::TimePoint received;    // of the latest promise
         Stamp start;
+        std::uint64_t takeovers = 0; // as stated by the latest promise
     };
 
     const Chain *findChain(const Platform::Replica &replica) const;
--- a/src/libs/ownership/shard.cpp
+++ b/src/libs/ownership/shard.cpp
@@ -334,6 +334,8 @@
                {"epoch", target.epoch},
                {"version", m_version}});
     m_context.transactions++;
+    if (previousOwner != m_context.self)
+        m_context.takeovers++;
     m_writer.send({kind, std::move(target), m_version, previousOwner, std::move(done)},
                   fmt::format("{}/{}/{}/{}", m_context.self.value(), m_context.incarnation.value(),
                               m_index.value(), m_context.transactions),
--- a/src/libs/ownership/shardownership.cpp
+++ b/src/libs/ownership/shardownership.cpp
@@ -120,7 +120,7 @@
     if (takingOver)
         return;
     context.promises.promise({from.daemon, from.incarnation}, context.timers.now());
-    context.port.send(from.daemon, Wire::LeasePromise{message.sequence});
+    context.port.send(from.daemon, Wire::LeasePromise{message.sequence, context.takeovers});
 }
 
 void ShardOwnership::Private::receive(const Wire::PeerIdentity &from,
@@ -128,8 +128,7 @@
 {
     // Notices a lapse before the promise can hide it.
     stepAll();
-    context.ledger.promiseReceived({from.daemon, from.incarnation}, message.sequence,
-                                   context.timers.now());
+    context.ledger.promiseReceived({from.daemon, from.incarnation}, message, context.timers.now());
     stepAll();
 }
 
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -54,8 +54,9 @@
 struct LeasePromise
 {
     std::uint64_t sequence = 0;
+    std::uint64_t takeovers = 0; // takeover writes that this run of the sender has sent so far
 
-    MSGPACK_DEFINE(sequence)
+    MSGPACK_DEFINE(sequence, takeovers)
 };
 
 /// Records of a shard, from its owner to a replica.
