EventLog: time line over several daemons as text and SVG

Cause: an operator who looks for a late or missing answer needs one order over all daemons, and must see which daemons are missing from it. Change: Timeline merges events by stamp, lists daemons without an answer and lost events, and renders text and a self-contained SVG document with a lane per daemon and per upstream. renderTimeline() does so from the replies of the operator interface. All text is escaped: control and direction characters and bytes that are not UTF-8 too. Ruled out: pairing started and finished within one daemon only, because after a takeover another daemon records the end; unbounded drawings. Figures: a time line of 40,000 tasks is drawn with 20,000 shapes and states that 60,000 were left out. Conclusion: the command line only has to fetch the replies.

--- a/src/libs/eventlog/eventlogconstants.h
+++ b/src/libs/eventlog/eventlogconstants.h
@@ -13,4 +13,9 @@
 constexpr std::size_t KEY_CAPACITY_BYTES = 63;
 constexpr std::size_t NAME_CAPACITY_BYTES = 31;
 
+/// Rows for overlapping bars in one lane; further overlap is drawn in the last row.
+constexpr std::size_t MAX_ROWS_PER_LANE = 16;
+/// Browsers become unusable with SVG files of several 10,000 shapes.
+constexpr std::size_t MAX_SVG_SHAPES = 20'000;
+
 } // namespace EventLog::Constants
--- a/tests/auto/eventlog/tst_eventlog.cpp
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -3,6 +3,8 @@
 #include <eventlog/eventjson.h>
 #include <eventlog/eventlogconstants.h>
 #include <eventlog/eventring.h>
+#include <eventlog/timeline.h>
+#include <eventlog/timelinereport.h>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -27,6 +29,14 @@
     }
 };
 
+static std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t n = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++n;
+    return n;
+}
+
 // Guards against a time line that contradicts the messages between daemons: stamps that repeat or
 // go back with the wall clock, receipts before their sending, and peers that drag the clock away.
 BOOST_FIXTURE_TEST_CASE(clockNeverGoesBack, Fixture)
@@ -177,3 +187,86 @@
         BOOST_TEST(received.unreadable == 1);
     }
 }
+
+// Guards against a time line in the wrong order, hidden gaps and events shown twice.
+BOOST_FIXTURE_TEST_CASE(timelineMergesDaemons, Fixture)
+{
+    HybridClock otherClock([this] { return wallMs - 500; });
+    EventRing ring(Base::DaemonId("d1"), clock, 8);
+    EventRing otherRing(Base::DaemonId("d2"), otherClock, 2);
+    // d2's wall clock is behind, but it acts on messages of d1.
+    otherClock.merge(ring.record(info(EventType::Accepted)));
+    otherRing.record(info(EventType::Replicated));
+    otherClock.merge(ring.record(info(EventType::Started)));
+    otherRing.record(info(EventType::Takeover));
+    otherRing.record(info(EventType::Finished));
+    const std::string body = daemonEventsToJson(ring.query({}));
+    const std::vector<DaemonReply> replies{
+        {Base::DaemonId("d2"), {}, daemonEventsToJson(otherRing.query({}))},
+        {Base::DaemonId("d1"), {}, body},
+        {Base::DaemonId("d1"), {}, body},
+        {Base::DaemonId("d3"), Base::makeFailure(FailureCode::Timeout, ""), ""},
+        {Base::DaemonId("d4"), {}, R"({"failure":"unauthorized"})"},
+        {Base::DaemonId("d5"), {}, "<html>"}};
+    const TimelineReport text = renderTimeline(replies, TimelineFormat::Text);
+    BOOST_TEST(!text.complete);
+    const char *inOrder[] = {"6 daemons, 4 events\n",
+                             "d2: 1 events overwritten\n",
+                             "d3: no answer (timeout)\n",
+                             "d4: no answer (unauthorized)\n",
+                             "d5: no answer (badRequest)\n",
+                             "Z+0 d1 accepted kalkan/medeu:1 task=0",
+                             " d1 started ",
+                             " d2 takeover ",
+                             " d2 finished ",
+                             "shard=medeu/4"};
+    std::size_t at = 0;
+    for (const char *part : inOrder) {
+        at = text.output.find(part, at);
+        BOOST_REQUIRE_MESSAGE(at != std::string::npos, part << " missing in\n" << text.output);
+    }
+    BOOST_TEST(renderTimeline({replies[1]}, TimelineFormat::Text).complete);
+
+    // Started at d1, finished at d2: one bar in the lane of d1, one in the lane of the upstream.
+    const std::string svg = renderTimeline(replies, TimelineFormat::Svg).output;
+    BOOST_TEST(count(svg, "class=\"done\"") == 2);
+    BOOST_TEST(count(svg, "class=\"open\"") == 0);
+    BOOST_TEST(count(svg, ">daemon d") == 5);
+    BOOST_TEST(count(svg, ">upstream worker-1<") == 1);
+    BOOST_TEST(count(svg, "d3: no answer (timeout)") == 1);
+}
+
+// Guards against keys of callers that control the operator's terminal or browser, and against
+// drawings too large to open.
+BOOST_AUTO_TEST_CASE(outputIsEscapedAndBounded)
+{
+    DaemonEvents hostile;
+    hostile.daemon = Base::DaemonId("<script>alert('1')</script>");
+    Event event;
+    event.daemon = hostile.daemon;
+    event.type = EventType::Started;
+    event.request = {Base::TeamId("a&b\"<!--"),
+                     Base::RequestKey("\x1b[2J\n\xff\xc0\x80\xed\xa0\x80\u202e\u0085]]>")};
+    event.upstream = Base::UpstreamId("</text><image href='x'>");
+    event.stamp = {std::numeric_limits<std::uint64_t>::max(), 0};
+    hostile.events = {event, {}};
+    const Timeline timeline({hostile});
+    for (const std::string &output : {timeline.toText(), timeline.toSvg()}) {
+        for (const char *bad : {"\x1b", "\xff", "\xc0", "\xed\xa0", "\u202e", "\u0085"})
+            BOOST_TEST(count(output, bad) == 0);
+    }
+    BOOST_TEST(count(timeline.toText(), "\n") == 3);
+    for (const char *bad : {"<script", "<image", "<!--", "]]>"})
+        BOOST_TEST(count(timeline.toSvg(), bad) == 0);
+    BOOST_TEST(count(timeline.toSvg(), "</text>") == count(timeline.toSvg(), "<text "));
+
+    DaemonEvents many;
+    for (std::size_t i = 0; i < 2 * Constants::MAX_SVG_SHAPES; ++i) {
+        event.stamp = {i / 100, static_cast<std::uint32_t>(i % 100)};
+        event.task = Base::TaskIndex(i);
+        many.events.push_back(event);
+    }
+    const std::string svg = Timeline({many}).toSvg();
+    BOOST_TEST(count(svg, "class=\"open\"") == Constants::MAX_SVG_SHAPES);
+    BOOST_TEST(count(svg, "60000 shapes left out") == 1);
+}
