--- a/tools/eventbench/main.cpp
+++ b/tools/eventbench/main.cpp
@@ -1,13 +1,14 @@
 // Measures what recording costs on one thread. Prints one line per operation: the median and the
 // best of several rounds in nanoseconds per operation.
 #include <eventlog/eventring.h>
+#include <metrics/metricsregistry.h>
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
-#include <functional>
 
 static constexpr int ROUNDS = 15;
 static constexpr int OPERATIONS_PER_ROUND = 200'000;
@@ -18,8 +19,11 @@
     std::array<double, ROUNDS> nsPerOperation{};
     for (double &it : nsPerOperation) {
         const auto start = std::chrono::steady_clock::now();
-        for (int i = 0; i < OPERATIONS_PER_ROUND; ++i)
+        for (int i = 0; i < OPERATIONS_PER_ROUND; ++i) {
             operation(i);
+            // Keeps the compiler from merging the operations of several turns.
+            std::atomic_signal_fence(std::memory_order_seq_cst);
+        }
         const auto elapsed = std::chrono::steady_clock::now() - start;
         it = std::chrono::duration<double, std::nano>(elapsed).count() / OPERATIONS_PER_ROUND;
     }
@@ -49,8 +53,23 @@
     measure("stamp only", [&](int) { clock.tick(); });
 }
 
+static void measureMetrics()
+{
+    Metrics::MetricsRegistry registry;
+    Metrics::Counter counter = registry.counter("bench_starts", "Starts.", {.kind = "probe"});
+    Metrics::Histogram histogram =
+        registry.histogram("bench_run_seconds", "Run time.", {.kind = "probe"});
+    measure("counter", [&](int) { counter.add(); });
+    measure("histogram", [&](int i) {
+        histogram.observe(std::chrono::microseconds(100 + 37LL * i % 1'000'000));
+    });
+    measure("look-up and counter",
+            [&](int) { registry.counter("bench_starts", "Starts.", {.kind = "probe"}).add(); });
+}
+
 int main()
 {
     measureEvents();
+    measureMetrics();
     return 0;
 }
