Wire: bound the items of a frame

Cause: the limits hold per container, so that a 16 MB frame of small integers in many lists became a tree of 24-byte items. As the members behind those of a message are ignored, such a frame even passed as a valid LeaseRequest. Change: the items that a frame declares are counted before any is allocated; more than 200,000 give badRequest. A row of the hostile frames tests it. Ruled out: lower limits per container (lists of lists still multiply); a smaller frame (a job of 1,700 tasks must fit). Conclusion: the decoded items of a frame are bounded at 200,000 x 24 bytes.

--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -65,6 +65,26 @@
     return n;
 }
 
+/// Stops the parser where a frame declares more items than its bound, before they are allocated.
+class ItemCounter : public msgpack::null_visitor
+{
+public:
+    bool start_array(std::uint32_t n) { return add(n) && ++m_depth <= Constants::MAX_NESTING; }
+    bool start_map(std::uint32_t n) { return add(2ULL * n) && ++m_depth <= Constants::MAX_NESTING; }
+    bool end_array() { return --m_depth, true; }
+    bool end_map() { return --m_depth, true; }
+
+private:
+    bool add(std::uint64_t n)
+    {
+        m_items += n;
+        return m_items <= Constants::MAX_FRAME_ITEMS;
+    }
+
+    std::uint64_t m_items = 0;
+    std::size_t m_depth = 0;
+};
+
 static absl::Status decodeMessage(const char *data, std::size_t size, Message &message)
 {
     const msgpack::unpack_limit limit(Constants::MAX_CONTAINER_ITEMS,
@@ -72,6 +92,10 @@
                                       Constants::MAX_NESTING);
     try {
         std::size_t offset = 0;
+        ItemCounter counter;
+        if (!msgpack::parse(data, size, offset, counter))
+            return makeFailure(FailureCode::BadRequest, "frame is malformed or has too many items");
+        offset = 0;
         const msgpack::object_handle handle =
             msgpack::unpack(data, size, offset, nullptr, nullptr, limit);
         if (offset != size)
--- a/src/libs/wire/wireconstants.h
+++ b/src/libs/wire/wireconstants.h
@@ -11,5 +11,8 @@
 /// Deepest nesting and largest containers accepted from a peer.
 constexpr std::size_t MAX_NESTING = 8;
 constexpr std::size_t MAX_CONTAINER_ITEMS = 100'000;
+/// Items of all containers of a frame together. A decoded item takes 24 bytes, so that without this
+/// bound a frame of 1-byte items took 24 times its size.
+constexpr std::size_t MAX_FRAME_ITEMS = 200'000;
 
 } // namespace Wire::Constants
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -219,10 +219,21 @@
     return std::string("\x92\x02") + std::string(depth, '\x91') + '\x01';
 }
 
+static std::string repeated(std::string_view part, std::size_t n)
+{
+    std::string result;
+    for (std::size_t i = 0; i < n; ++i)
+        result += part;
+    return result;
+}
+
 // Guards against hostile frames that crash the daemon, exhaust its memory or pass for a message.
 BOOST_AUTO_TEST_CASE(hostileFramesGiveTypedFailures)
 {
     using namespace std::string_literals;
+    // 100 lists of 60,000 numbers each, hidden behind the one member of a LeaseRequest.
+    const std::string manyItems = "\x92\x02\x92\x01\xdc\x00\x64"s
+                                  + repeated("\xdc\xea\x60"s + std::string(60'000, '\0'), 100);
     const std::pair<std::string, FailureCode> rows[] = {
         {frameOf(""), FailureCode::BadRequest},
         {frameOf("\xc1"), FailureCode::BadRequest}, // not used by msgpack
@@ -248,6 +259,7 @@
         {frameOf("\x92\x02\x91\xc9\xff\xff\xff\xff\x01x"), FailureCode::BadRequest},
         {frameOf(nested(100)), FailureCode::BadRequest},
         {frameOf(nested(1'000'000)), FailureCode::BadRequest},
+        {frameOf(manyItems), FailureCode::BadRequest},
         {"\xff\xff\xff\xff", FailureCode::TooLarge},
         {"\x01\x00\x00\x01"s, FailureCode::TooLarge}, // one byte over the limit
         {"\x01\x00\x00\x00"s, FailureCode::None},     // on the limit; waits for the rest
