PeerLink: tolerate listeners that are added by a message

Cause: all daemons but the first crashed when the first manifest arrived from a peer. Its application creates the shard ownership, which adds a listener while the list of listeners was being iterated.

Change: the loop runs over the listeners present at its start, by index.

Ruled out: a fault in the ownership library (the first daemon, which gets its manifest from the platform, ran on).

Conclusion: dispatch is safe against additions.

--- a/cmake/EndivepathTargets.cmake
+++ b/cmake/EndivepathTargets.cmake
@@ -4,6 +4,7 @@
 target_compile_options(endivepath_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
 target_compile_definitions(endivepath_options INTERFACE ASIO_STANDALONE MSGPACK_NO_BOOST)
 target_include_directories(endivepath_options INTERFACE ${CMAKE_SOURCE_DIR}/src/libs
+                                                        ${CMAKE_SOURCE_DIR}/src
                                                         ${CMAKE_SOURCE_DIR}/src/plugins)
 
 function(endivepath_split_arguments)
--- a/src/plugins/peerlink/peerlink.cpp
+++ b/src/plugins/peerlink/peerlink.cpp
@@ -82,8 +82,10 @@
 
 void PeerLinkService::messageReceived(const Wire::PeerIdentity &from, const Wire::Message &message)
 {
-    for (Wire::PeerListener *it : m_listeners)
-        it->peerMessageReceived(from, message);
+    // A message may add listeners: the first manifest creates the shard ownership.
+    const std::size_t n = m_listeners.size();
+    for (std::size_t i = 0; i < n; ++i)
+        m_listeners[i]->peerMessageReceived(from, message);
 }
 
 void PeerLinkService::stateChanged(const Settings::PeerSettings &peer, bool isUp)
