--- a/src/libs/scheduling/queuescheduler.cpp
+++ b/src/libs/scheduling/queuescheduler.cpp
@@ -271,8 +271,10 @@
     for (std::size_t i = 0; i < m_kinds.size(); ++i) {
         if (!m_pool.overlap(group.kind, KindIndex(i)))
             continue;
-        for (const TaskClass it : {TaskClass::Single, TaskClass::Job})
-            query.arrivingLoad += load(m_kinds[i], it);
+        // Job tasks don't delay single requests, which may therefore wait for the fast slots.
+        query.arrivingLoad += load(m_kinds[i], TaskClass::Single);
+        if (task.taskClass == TaskClass::Job)
+            query.arrivingLoad += load(m_kinds[i], TaskClass::Job);
     }
     query.now = m_timers.now();
     return query;
@@ -296,11 +298,14 @@
     m_dispatching = false;
     if (m_queue.size() == 0)
         return;
+    // A probe can be due while the upstream still runs earlier tasks; the review period bounds the
+    // rate of wake-ups then.
+    const Base::TimePoint review = m_timers.now() + WAIT_REVIEW_MS;
     const Base::TimePoint probe = m_pool.nextProbe();
     if (m_waits)
-        scheduleWakeUp(std::min(probe, m_timers.now() + WAIT_REVIEW_MS));
+        scheduleWakeUp(review);
     else if (probe != Base::TimePoint::max())
-        scheduleWakeUp(std::max(probe, m_timers.now() + WAIT_REVIEW_MS));
+        scheduleWakeUp(std::max(probe, review));
 }
 
 void QueueScheduler::dispatchClass(TaskClass taskClass)
