Scheduling: admission counts later arrivals of other teams

Cause: the waiting time was estimated as if the queue were first-in, first-out.

Change: the work ahead drains with the capacity less the arriving load of the class, but never slower than by the team's share.

--- a/src/libs/scheduling/admissioncontrol.cpp
+++ b/src/libs/scheduling/admissioncontrol.cpp
@@ -12,6 +12,8 @@
 static constexpr double WAIT_RESERVE = 1.25;
 /// Jobs are assumed to get at least this part of the capacity beside single requests.
 static constexpr double MIN_JOB_CAPACITY = 0.05;
+/// The load is an average, so that a short burst looks like a lasting one.
+static constexpr double MIN_SPARE_CAPACITY = 0.1;
 /// Tasks that may wait for a kind of which this daemon has no slots, in the hope of a loan.
 static constexpr std::size_t MAX_WAITING_FOR_LOAN = 16;
 static constexpr std::chrono::milliseconds MIN_RETRY_AFTER_MS{100};
@@ -39,7 +41,10 @@
     // The first tasks find free slots if nothing waits.
     const double inSlots =
         state.queuedWorkMs > 0 ? 0 : capacity / state.meanSpeed * state.meanWorkMs;
-    const double inOrder = state.queuedWorkMs + ownWork;
+    // Under fair queueing, later arrivals of other teams can go first; they take the load's part of
+    // the capacity at most, and never more than leaves the team its share.
+    const double spare = std::max(capacity - state.classLoad, capacity * MIN_SPARE_CAPACITY);
+    const double inOrder = (state.queuedWorkMs + ownWork) * capacity / spare;
     const double byShare = (state.teamWorkMs + ownWork) / state.teamShare;
     return std::max(0.0, std::min(inOrder, byShare) - inSlots) / capacity;
 }
--- a/src/libs/scheduling/admissioncontrol.h
+++ b/src/libs/scheduling/admissioncontrol.h
@@ -15,6 +15,7 @@
     double meanSpeed = 1;
     double slowestSpeed = 1;
     double singleLoad = 0;   // arriving load of single requests
+    double classLoad = 0;    // arriving load of the request's class
     double meanWorkMs = 0;   // of one task
     double upperWorkMs = 0;  // 95th percentile of one task
     double queuedWorkMs = 0; // of the request's class and the classes before it
--- a/src/libs/scheduling/queuescheduler.cpp
+++ b/src/libs/scheduling/queuescheduler.cpp
@@ -127,6 +127,7 @@
             state.queuedWorkMs += static_cast<double>(before) * work;
         }
         state.singleLoad += load(it, TaskClass::Single);
+        state.classLoad += load(it, taskClass);
     }
     state.queuedWorkMs += workInClass;
     if (queuedInClass > 0) {
--- a/tools/schedulingbench/ideal.cpp
+++ b/tools/schedulingbench/ideal.cpp
@@ -44,7 +44,7 @@
         double sum = 0;
         for (const Request &it : workload.requests) {
             for (const double work : it.workMs) {
-                m_loads[it.single ? 0 : 1] += work / toMs(Workload::ARRIVALS_S);
+                m_loads[it.single ? 0 : 1] += work / toMs(workload.arrivals);
                 sum += work;
             }
             tasks += static_cast<double>(it.workMs.size());
