--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -118,15 +118,17 @@
     MSGPACK_DEFINE(correlation, status, body, redirect)
 };
 
-/// Lends slots of an upstream to the receiver until they are returned or the loan expires.
+/// Asks for, grants or returns a loan of slots of an upstream. A request has no duration. A grant and
+/// a return carry the sequence number of the borrower's request.
 struct SlotLoan
 {
     std::string upstream;
     std::uint64_t slots = 0;
     std::uint64_t durationMs = 0;
     bool returned = false;
+    std::uint64_t sequence = 0; // unique among all requests of the borrower, also over restarts
 
-    MSGPACK_DEFINE(upstream, slots, durationMs, returned)
+    MSGPACK_DEFINE(upstream, slots, durationMs, returned, sequence)
 };
 
 struct ManifestFetch
