--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -118,8 +118,8 @@
     MSGPACK_DEFINE(correlation, status, body, redirect)
 };
 
-/// Asks for, grants or returns a loan of slots of an upstream. A request has no duration. A grant and
-/// a return carry the sequence number of the borrower's request.
+/// Asks for, grants or returns a loan of slots of an upstream. A request has no duration. A grant
+/// and a return carry the sequence number of the borrower's request.
 struct SlotLoan
 {
     std::string upstream;
