Lint: findings of the daemon's first version

Cause: the daemon was merged before its lint findings were mended. Ruled out: excluding the plugins from the lint.

--- a/src/libs/jobs/coordinatorshards.cpp
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -327,11 +327,12 @@
         record->epoch = epoch;
         storeReplica(std::move(*record));
     }
-    if (message.incompleteMs > 0)
+    if (message.incompleteMs > 0) {
         m_incompleteUntil[shard] =
             m_context.timers.now() + std::chrono::milliseconds(message.incompleteMs);
-    else
+    } else {
         m_incompleteUntil.erase(shard);
+    }
     if (message.snapshotEnd)
         dropOlderReplicas({m_context.domain, shard}, epoch);
     m_context.peers.send(from.daemon, ack);
--- a/src/plugins/callergateway/requestcodec.cpp
+++ b/src/plugins/callergateway/requestcodec.cpp
@@ -71,9 +71,10 @@
 
 static absl::Status checkMembers(const json &body)
 {
-    for (const auto &[member, value] : body.items()) {
+    for (auto it = body.begin(); it != body.end(); ++it) {
+        const std::string &member = it.key();
         const bool isKnown = std::any_of(KNOWN_MEMBERS.begin(), KNOWN_MEMBERS.end(),
-                                         [&](const char *it) { return member == it; });
+                                         [&](const char *known) { return member == known; });
         if (!isKnown)
             return makeFailure(FailureCode::BadRequest, fmt::format("/{} is unknown", member));
     }
--- a/src/plugins/upstreamclient/upstreamclient.h
+++ b/src/plugins/upstreamclient/upstreamclient.h
@@ -17,6 +17,9 @@
 public:
     explicit UpstreamClientService(const Settings::Runtime &runtime);
 
+    using Kernel::Service::stop;
+    using Jobs::WorkerPort::start;
+
     absl::Status start(const Kernel::ServiceRegistry &registry) override;
 
     void start(const Base::UpstreamId &upstream, const Jobs::StartOrder &order,
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -59,23 +59,24 @@
 {
     const bool isTable = request.path.size() > 2 && request.path[1] == "table";
     const bool isObject = request.path.size() > 2 && request.path[1] == "objects";
-    if (isTable && request.method == "GET")
+    if (isTable && request.method == "GET") {
         readRow(request, respond);
-    else if (isTable && request.method == "PUT")
+    } else if (isTable && request.method == "PUT") {
         writeRow(request, respond);
-    else if (isObject && request.method == "GET")
+    } else if (isObject && request.method == "GET") {
         readObject(request, respond);
-    else if (isObject && request.method == "PUT")
+    } else if (isObject && request.method == "PUT") {
         writeObject(request, respond);
-    else if (request.matches("GET", {"v1", "hosts"}))
+    } else if (request.matches("GET", {"v1", "hosts"})) {
         respond(jsonResponse(200, hostList()));
-    else if (request.matches("PUT", {"v1", "hosts", "*"}))
+    } else if (request.matches("PUT", {"v1", "hosts", "*"})) {
         setHost(request, respond);
-    else if (request.matches("GET", {"v1", "statistics"}))
+    } else if (request.matches("GET", {"v1", "statistics"})) {
         respond(
             jsonResponse(200, {{"requests", m_requestCount}, {"writes", m_table.writeCount()}}));
-    else
+    } else {
         respond(jsonResponse(404, {{"failure", {{"code", "badRequest"}}}}));
+    }
 }
 
 void PlatformServer::readRow(const Http::Request &request, const Http::Respond &respond)
