Jobs: slots of the domain are shared by lending

Cause: each daemon had a fixed part of the domain's slots, so that a job, which runs at one owner, used a third of them, and the slots of a lost daemon stayed idle. A job of 1,700 tasks of 100 ms took 3.1 s.

Change: the job service uses SlotShares: slots are divided among the daemons heard of, lent to those with queued tasks, and fall to the others a few seconds after a daemon is lost. A daemon whose slots are all lent admits what can still be answered when they are back, in place of at most 16 tasks.

Ruled out: the default wait of 12 s before the slots of a lost daemon are used, and before a restarted one has any. With 3 s a task longer than a second may make a slot look free that is not; the worker then refuses, which costs a message, not a second start.

Conclusion: one owner can use the whole domain.

--- a/src/libs/scheduling/admissioncontrol.cpp
+++ b/src/libs/scheduling/admissioncontrol.cpp
@@ -14,8 +14,8 @@
 static constexpr double MIN_JOB_CAPACITY = 0.05;
 /// The load is an average, so that a short burst looks like a lasting one.
 static constexpr double MIN_SPARE_CAPACITY = 0.1;
-/// Tasks that may wait for a kind of which this daemon has no slots, in the hope of a loan.
-static constexpr std::size_t MAX_WAITING_FOR_LOAN = 16;
+/// Lent slots, and those of a lost daemon, are usable again after this at the latest.
+static constexpr std::chrono::milliseconds SLOT_RETURN_MS{3000};
 static constexpr std::chrono::milliseconds MIN_RETRY_AFTER_MS{100};
 static constexpr std::chrono::milliseconds MAX_RETRY_AFTER_MS{30'000};
 static constexpr std::chrono::milliseconds NO_UPSTREAM_RETRY_AFTER_MS{1000};
@@ -73,7 +73,7 @@
                       "the run time of one task exceeds the time to the deadline", {});
     }
     if (state.capacity <= 0) {
-        if (state.teamQueued + request.taskCount > MAX_WAITING_FOR_LOAN) {
+        if (run + SLOT_RETURN_MS > left || state.queued + request.taskCount > state.maxQueued) {
             return refuse(FailureCode::Overloaded, "this daemon has no slots for the kind",
                           NO_UPSTREAM_RETRY_AFTER_MS);
         }
--- a/src/plugins/jobservice/jobservice.cpp
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -1,8 +1,6 @@
 // Wiring of coordinator and scheduler, and the hand-over at shutdown.
 #include "jobservice.h"
 
-#include "slotpartition.h"
-
 #include <base/failure.h>
 #include <base/log.h>
 #include <base/softassert.h>
@@ -18,8 +16,21 @@
 
 using Base::FailureCode;
 
-/// The set of live daemons and leaving hosts is looked at this often.
-static constexpr std::chrono::milliseconds AVAILABILITY_INTERVAL_MS{500};
+/// Live daemons and leaving hosts are looked at, and slots lent and returned, this often.
+static constexpr std::chrono::milliseconds EXCHANGE_INTERVAL_MS{200};
+static constexpr std::size_t MAX_LOAN_REQUESTS = 32;
+
+/// Most tasks end within a second. For longer ones the worker's refusal beyond its slots remains,
+/// which costs a wasted message; a longer wait would leave slots of a lost daemon idle for as long.
+static Scheduling::SlotShareOptions slotShareOptions()
+{
+    Scheduling::SlotShareOptions options;
+    options.maxTaskTime = std::chrono::seconds(1);
+    options.membershipLag = std::chrono::seconds(1);
+    options.loanDuration = std::chrono::seconds(1);
+    return options;
+}
+
 static constexpr std::chrono::milliseconds DRAIN_CHECK_MS{50};
 static constexpr std::chrono::milliseconds HAND_OVER_RETRY_MS{500};
 
@@ -55,49 +66,77 @@
         Jobs::CoordinatorContext{m_runtime.timers, *workers, *link, *m_ownership, *m_scheduler,
                                  m_observer, m_runtime.settings.domain},
         coordinatorLimits);
+    m_shares = std::make_unique<Scheduling::SlotShares>(m_runtime.timers, *link, *this,
+                                                        m_runtime.settings.daemon,
+                                                        m_runtime.incarnation, slotShareOptions());
     link->addListener(this);
     m_cluster->setLoadProvider([this] { return m_scheduler->queuedCount(); });
-    m_membership->observe([this] { updateAvailability(); });
+    m_membership->observe([this] { applySlotShares(); });
     m_ownership->setObserver(this);
     manifest->observe([this](const ManifestService::ManifestHolder::Snapshot &snapshot) {
         m_manifest = snapshot;
         m_coordinator->setManifest(snapshot);
-        updateAvailability();
+        exchangeSlots();
     });
-    m_availabilityTimer =
-        m_runtime.timers.schedule(AVAILABILITY_INTERVAL_MS, [this] { updateAvailability(); });
     return absl::OkStatus();
 }
 
 void JobServiceImpl::stop()
 {
-    m_runtime.timers.cancel(m_availabilityTimer);
+    m_runtime.timers.cancel(m_exchangeTimer);
 }
 
-void JobServiceImpl::updateAvailability()
+void JobServiceImpl::exchangeSlots()
 {
-    m_runtime.timers.cancel(m_availabilityTimer);
-    m_availabilityTimer =
-        m_runtime.timers.schedule(AVAILABILITY_INTERVAL_MS, [this] { updateAvailability(); });
-    if (!m_manifest)
-        return;
-    // All configured daemons of the domain have a share, also while they are down: a daemon that is
-    // only cut off still uses its slots.
-    std::vector<Base::DaemonId> daemons{m_runtime.settings.daemon};
+    m_runtime.timers.cancel(m_exchangeTimer);
+    m_exchangeTimer = m_runtime.timers.schedule(EXCHANGE_INTERVAL_MS, [this] { exchangeSlots(); });
+    std::map<Base::UpstreamId, std::uint32_t> slots;
+    for (const auto &[id, upstream] : m_manifest->upstreams) {
+        if (upstream.domain == m_runtime.settings.domain)
+            slots[id] = upstream.slots;
+    }
+    std::set<Base::DaemonId> daemons{m_runtime.settings.daemon};
     for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
-        if (it.domain == m_runtime.settings.domain)
-            daemons.push_back(it.daemon);
+        if (it.domain == m_runtime.settings.domain && m_cluster->isAlive(it.daemon))
+            daemons.insert(it.daemon);
     }
+    m_shares->setUpstreams(slots);
+    m_shares->setLiveDaemons(daemons);
+    m_shares->exchangeLoans(MAX_LOAN_REQUESTS);
+    applySlotShares();
+}
+
+void JobServiceImpl::applySlotShares()
+{
+    if (!m_manifest)
+        return;
     std::map<Base::UpstreamId, Scheduling::UpstreamAvailability> availability;
-    for (const auto &[upstream, slots] : slotPartition(*m_manifest, m_runtime.settings.domain,
-                                                       daemons, m_runtime.settings.daemon)) {
-        const std::string &host = m_manifest->upstreams.at(upstream).host;
-        const bool isLive = m_membership->hostState(host) == Platform::HostState::Live;
-        availability[upstream] = {slots, !isLive};
+    for (const auto &[id, upstream] : m_manifest->upstreams) {
+        if (upstream.domain != m_runtime.settings.domain)
+            continue;
+        const bool isLive = m_membership->hostState(upstream.host) == Platform::HostState::Live;
+        availability[id] = {m_shares->usableSlots(id), !isLive};
     }
     m_scheduler->setAvailability(availability);
 }
 
+std::uint32_t JobServiceImpl::runningTasks(const Base::UpstreamId &upstream) const
+{
+    const Scheduling::UpstreamPool &pool = m_scheduler->pool();
+    const Scheduling::UpstreamIndex *index = pool.find(upstream);
+    return index ? pool.upstream(*index).inUse : 0;
+}
+
+bool JobServiceImpl::hasQueuedTasks() const
+{
+    return m_scheduler->queuedCount() > 0;
+}
+
+void JobServiceImpl::slotSharesChanged()
+{
+    applySlotShares();
+}
+
 void JobServiceImpl::startTask(Scheduling::TaskHandle task, const Base::UpstreamId &upstream)
 {
     m_coordinator->startTask(task, upstream);
@@ -110,6 +149,8 @@
         m_coordinator->recordsReceived(from, *replicate);
     else if (const auto *ack = std::get_if<Wire::ReplicateAck>(&message))
         m_coordinator->acknowledgementReceived(from, *ack);
+    else if (const auto *loan = std::get_if<Wire::SlotLoan>(&message))
+        m_shares->loanReceived(from.daemon, *loan);
 }
 
 void JobServiceImpl::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch,
--- a/src/plugins/jobservice/jobservice.h
+++ b/src/plugins/jobservice/jobservice.h
@@ -9,6 +9,7 @@
 #include <ownership/ownershipobserver.h>
 #include <ownershipservice/ownershipservice.h>
 #include <scheduling/queuescheduler.h>
+#include <scheduling/slotshares.h>
 #include <settings/runtime.h>
 
 #include <memory>
@@ -19,7 +20,8 @@
 class JobServiceImpl : public Kernel::Service,
                        public Wire::PeerListener,
                        public Ownership::OwnershipObserver,
-                       public Scheduling::TaskStarter
+                       public Scheduling::TaskStarter,
+                       public Scheduling::SlotUser
 {
 public:
     JobServiceImpl(const Settings::Runtime &runtime, Jobs::JobObserver &observer);
@@ -43,9 +45,14 @@
                            Base::Incarnation incarnation) override;
     // Scheduling::TaskStarter
     void startTask(Scheduling::TaskHandle task, const Base::UpstreamId &upstream) override;
+    // Scheduling::SlotUser
+    std::uint32_t runningTasks(const Base::UpstreamId &upstream) const override;
+    bool hasQueuedTasks() const override;
+    void slotSharesChanged() override;
 
 private:
-    void updateAvailability();
+    void exchangeSlots();
+    void applySlotShares();
     void handOverShards();
     void handOverShard(Base::ShardIndex shard);
     void checkDrained();
@@ -58,7 +65,8 @@
     ManifestService::ManifestHolder::Snapshot m_manifest;
     std::unique_ptr<Scheduling::QueueScheduler> m_scheduler;
     std::unique_ptr<Jobs::Coordinator> m_coordinator;
-    Base::TimerId m_availabilityTimer;
+    std::unique_ptr<Scheduling::SlotShares> m_shares;
+    Base::TimerId m_exchangeTimer;
     std::function<void()> m_drained; // set while draining
     Base::TimePoint m_drainDeadline;
     bool m_hasHandOverFailed = false;
