Telemetry: events and metrics of the daemon

Cause: the daemon had no event log and no metrics; JobServiceImpl got a JobObserver that ignores everything. Change: the plugin telemetry owns the event ring, the hybrid clock and the metrics. JobTelemetry records requests, tasks and recoveries; the other services record their own events and register their gauges. Heartbeats carry the hybrid clock. The operators' port answers GET /v1/events and GET /v1/metrics. The status has the member manifestRevision, which the command line expects. Queueing time uses the start time kept in the task's record.

--- a/src/plugins/jobservice/jobservice.h
+++ b/src/plugins/jobservice/jobservice.h
@@ -10,6 +10,7 @@
 #include <ownershipservice/ownershipservice.h>
 #include <scheduling/queuescheduler.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 
 #include <memory>
 
@@ -45,6 +46,8 @@
     void startTask(Scheduling::TaskHandle task, const Base::UpstreamId &upstream) override;
 
 private:
+    void registerGauges();
+    void recordLease(EventLog::EventType type, Base::ShardIndex shard, Base::Epoch epoch);
     void updateAvailability();
     void handOverShards();
     void handOverShard(Base::ShardIndex shard);
@@ -52,6 +55,7 @@
 
     const Settings::Runtime m_runtime;
     Jobs::JobObserver &m_observer;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     Cluster::ClusterView *m_cluster = nullptr;
     Membership::MembershipService *m_membership = nullptr;
     OwnershipService::OwnershipServiceImpl *m_ownership = nullptr;
