Jobs: a task is queued once when a delayed requeue meets a resumption

Cause: after a refused start a task is queued again by a timer. If the lease lapses and returns before the timer runs, the resumption queues all waiting tasks and the timer queues the task a second time. The second start was stopped only by the soft assertion in startTask(), which aborts test programs.

Change: enqueueTask() ignores a task whose handle the scheduler holds.

--- a/src/libs/jobs/coordinatortasks.cpp
+++ b/src/libs/jobs/coordinatortasks.cpp
@@ -25,6 +25,9 @@
 {
     TaskEntry &task = record.tasks[index];
     EP_ASSERT(task.phase == TaskPhase::Waiting, return);
+    // A delayed requeue may come after the record was resumed, which queues all waiting tasks.
+    if (m_handles.contains(task.handle))
+        return;
     const TaskHandle handle(++m_lastHandle);
     task.handle = handle;
     m_handles.emplace(handle, TaskReference{record.id, index, record.epoch, {}});
