Jobs: resumeShard() replicates before it starts tasks

Cause: records that are accepted while a shard is held stay in phase Accepting when their replication is acknowledged. resumeShard() let all records in that phase begin, including those whose replication was still under way.

Change: resumeShard() replicates these records again and begins with the acknowledgement.

Found by the randomised schedules of tests/auto/jobs.

--- a/src/libs/jobs/coordinatorshards.cpp
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -243,8 +243,12 @@
 {
     if (m_heldShards.erase({m_context.domain, shard}) == 0)
         return;
-    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard}))
-        begin(id, m_store.find(id)->epoch);
+    for (const Base::RequestId &id : m_store.idsOfShard({m_context.domain, shard})) {
+        // Records that were accepted during the hold may not be replicated yet.
+        JobRecord &record = *m_store.find(id);
+        if (record.phase == RecordPhase::Accepting)
+            replicateNew(record);
+    }
 }
 
 void Coordinator::shardLost(Base::ShardIndex shard)
