Jobs: recovered records are replicated before their tasks start

Cause: a hand-over leaves the list of replicas as it is. A record that the former owner had sent to the new owner, but not yet to the third replica, was started by the new owner after the recovery without being replicated.

Change: after the recovery a record is replicated like a new one. After a takeover the list has no other replica, so nothing is sent.

Found by the randomised schedules of tests/auto/jobs.

--- a/src/libs/jobs/coordinatorshards.cpp
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -214,17 +214,10 @@
     }
     // Every worker has answered and refuses older orders, so what none reports has not started.
     record.isStartUncertain = false;
-    record.phase = RecordPhase::Running;
-    const Base::RequestId id = record.id;
-    const Base::Epoch epoch = record.epoch;
-    const std::size_t n = record.tasks.size();
-    for (std::size_t i = 0; i < n; ++i) {
-        JobRecord *current = findActive(id, epoch);
-        if (!current || current->phase != RecordPhase::Running)
-            return;
-        if (current->tasks[i].phase == TaskPhase::Waiting)
-            enqueueTask(*current, i);
-    }
+    // After a hand-over the list of replicas is unchanged, and the former owner may not have
+    // reached all of them with this record.
+    record.phase = RecordPhase::Accepting;
+    replicateNew(record);
 }
 
 void Coordinator::holdShard(Base::ShardIndex shard)
