Jobs: a replica is listed only when it holds every settled record

Cause: a record that is replicated while another daemon joins is settled by the listed replicas alone.

Change: Replicator::copyTo() reports the copy as complete only when the joining daemon has acknowledged all records that were reported as replicated. Records still in progress wait for the daemon anyway, because it is required from the call of addReplica().

Found by the randomised schedules of tests/auto/jobs.

--- a/src/libs/jobs/replicator.cpp
+++ b/src/libs/jobs/replicator.cpp
@@ -4,7 +4,6 @@
 #include "jobsconstants.h"
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 namespace Jobs {
@@ -31,8 +30,10 @@
     pending.message.records = std::move(records);
     for (const Base::DaemonId &it : m_authority.requiredReplicas(shard))
         pending.unacknowledged.insert(it);
-    if (const auto it = m_joining.find(shard); it != m_joining.end())
-        pending.unacknowledged.insert(it->second.begin(), it->second.end());
+    if (const auto it = m_joining.find(shard); it != m_joining.end()) {
+        for (const auto &[daemon, join] : it->second)
+            pending.unacknowledged.insert(daemon);
+    }
     pending.callback = std::move(acknowledged);
     add(std::move(pending));
 }
@@ -40,12 +41,10 @@
 void Replicator::copyTo(Base::ShardIndex shard, Base::Epoch epoch, const Base::DaemonId &daemon,
                         std::vector<std::vector<std::string>> chunks, Callback copied)
 {
-    m_joining[shard].insert(daemon);
     if (chunks.empty())
         chunks.emplace_back();
-    const auto remaining = std::make_shared<std::size_t>(chunks.size());
-    const auto callback = std::make_shared<Callback>(std::move(copied));
     const std::size_t n = chunks.size();
+    m_joining[shard].insert_or_assign(daemon, Join{n, std::move(copied)});
     for (std::size_t i = 0; i < n; ++i) {
         Pending pending;
         pending.message.shard = shard.value();
@@ -55,14 +54,34 @@
         pending.message.snapshotEnd = i + 1 == n;
         pending.unacknowledged.insert(daemon);
         pending.isCopy = true;
-        pending.callback = [remaining, callback] {
-            if (--*remaining == 0)
-                (*callback)();
+        pending.callback = [this, shard, daemon] {
+            const auto joining = m_joining.find(shard);
+            if (joining == m_joining.end() || !joining->second.contains(daemon))
+                return;
+            --joining->second.at(daemon).missingChunks;
+            checkJoin(shard, daemon);
         };
         add(std::move(pending));
     }
 }
 
+void Replicator::checkJoin(Base::ShardIndex shard, const Base::DaemonId &daemon)
+{
+    const auto joining = m_joining.find(shard);
+    if (joining == m_joining.end())
+        return;
+    const auto join = joining->second.find(daemon);
+    if (join == joining->second.end() || join->second.missingChunks > 0 || !join->second.copied)
+        return;
+    // Once listed, the replica may take over, so it must not miss a record that tasks were started
+    // for. Those still with a callback wait for it as soon as it is required.
+    for (const auto &[sequence, it] : m_pending) {
+        if (it.message.shard == shard.value() && !it.callback && it.unacknowledged.contains(daemon))
+            return;
+    }
+    std::exchange(join->second.copied, {})();
+}
+
 void Replicator::add(Pending pending)
 {
     const std::uint64_t sequence = ++m_lastSequence;
@@ -135,6 +154,7 @@
         return;
     it->second.unacknowledged.erase(from.daemon);
     settle(ack.sequence);
+    checkJoin(shard, from.daemon);
 }
 
 static std::vector<std::uint64_t> sequencesOf(const auto &pending, Base::ShardIndex shard)
--- a/src/libs/jobs/replicator.h
+++ b/src/libs/jobs/replicator.h
@@ -33,7 +33,8 @@
     void replicate(Base::ShardIndex shard, Base::Epoch epoch, std::vector<std::string> records,
                    Callback acknowledged);
     /// Copies \a chunks to a joining replica, then calls \a copied. From now on the joining replica
-    /// also receives every new record.
+    /// also receives every new record; \a copied is called at a moment when it holds all records
+    /// whose replication has been reported as acknowledged.
     void copyTo(Base::ShardIndex shard, Base::Epoch epoch, const Base::DaemonId &daemon,
                 std::vector<std::vector<std::string>> chunks, Callback copied);
     /// Ends the joining phase of \a daemon, whether it has become a replica or not.
@@ -54,7 +55,15 @@
         Callback callback;
     };
 
+    struct Join
+    {
+        std::size_t missingChunks = 0;
+        Callback copied; // null once called
+    };
+
     void add(Pending pending);
+    /// Calls Join::copied when it is due.
+    void checkJoin(Base::ShardIndex shard, const Base::DaemonId &daemon);
     /// Forgets daemons that neither must acknowledge nor are joining.
     void dropFormerReplicas(Pending &pending) const;
     bool isSettled(const Pending &pending) const;
@@ -68,7 +77,7 @@
     IncompleteTime m_incompleteTime;
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, Pending> m_pending; // by sequence
-    std::map<Base::ShardIndex, std::set<Base::DaemonId>> m_joining;
+    std::map<Base::ShardIndex, std::map<Base::DaemonId, Join>> m_joining;
     Base::TimerId m_resendTimer; // 0 when not armed
 };
 
