EventLog, Metrics: peers of events, outcomes of series

Cause: events of peer connections had no member for the peer's name, and series of metrics none for the outcome of a request or task. Change: the ring stores the peer in the place of the upstream, so an entry grows by one flag only. EventInfo gets it as its last member, because callers initialise it by position. Labels gets outcome. Ruled out: the upstream's member for peers; the time line would draw a lane of an upstream for each daemon. Conclusion: tst_eventlog and tst_metrics pass unchanged.

--- a/src/libs/eventlog/event.h
+++ b/src/libs/eventlog/event.h
@@ -27,7 +27,7 @@
     LeaseLost,         ///< The daemon's lease expired.
     EpochChanged,      ///< A shard's epoch changed.
     Replicated,        ///< All replicas acknowledged a record.
-    Takeover,          ///< The daemon became the owner of a shard.
+    Takeover,          ///< Recovery after a takeover began; detail 1: it is finished.
     ManifestApplied,   ///< A manifest came into force; the detail is its revision.
     ManifestRefused,   ///< A manifest was refused; the detail is its revision.
     MembershipChanged, ///< A new membership list; the detail is the number of hosts.
@@ -53,6 +53,7 @@
     Base::Epoch epoch = {}; // 0 if it does not apply
     Base::FailureCode failure = Base::FailureCode::None;
     std::int64_t detail = 0;
+    const Base::DaemonId *peer = nullptr; // excludes upstream
 };
 
 /// A recorded event. Names longer than the ring's inline capacity appear in shortened form.
@@ -64,6 +65,7 @@
     Base::RequestId request; // empty if the event belongs to no request
     std::optional<Base::TaskIndex> task;
     std::optional<Base::UpstreamId> upstream;
+    std::optional<Base::DaemonId> peer;
     std::optional<Base::ShardId> shard;
     Base::Epoch epoch; // 0 if it does not apply
     Base::FailureCode failure = Base::FailureCode::None;
--- a/src/libs/eventlog/eventjson.cpp
+++ b/src/libs/eventlog/eventjson.cpp
@@ -26,6 +26,8 @@
         result["task"] = event.task->value();
     if (event.upstream)
         result["upstream"] = event.upstream->value();
+    if (event.peer)
+        result["peer"] = event.peer->value();
     if (event.shard) {
         result["domain"] = event.shard->domain.value();
         result["shard"] = event.shard->index.value();
@@ -116,6 +118,8 @@
         result.task = Base::TaskIndex(reader.number("task", true));
     if (reader.has("upstream"))
         result.upstream = Base::UpstreamId(reader.text("upstream", true));
+    if (reader.has("peer"))
+        result.peer = Base::DaemonId(reader.text("peer", true));
     if (reader.has("shard") || reader.has("domain"))
         result.shard = Base::ShardId{Base::FailureDomainId(reader.text("domain", true)),
                                      Base::ShardIndex(reader.number("shard", true))};
--- a/src/libs/eventlog/eventjson.h
+++ b/src/libs/eventlog/eventjson.h
@@ -4,6 +4,7 @@
 //   {"type": "started", "wallMs": 1790000000123, "counter": 0, "daemon": "entry-1",
 //    "team": "kalkan", "key": "medeu:4711", "task": 3, "upstream": "worker-7",
 //    "domain": "medeu", "shard": 5, "epoch": 12, "failure": "timeout", "detail": 250}
+// Events of peers have the member "peer", a daemon id.
 // "failure" is a name of Base::FailureCode; "domain" and "shard" appear together.
 //
 // The answer of one daemon is
--- a/src/libs/eventlog/eventring.cpp
+++ b/src/libs/eventlog/eventring.cpp
@@ -25,10 +25,11 @@
     EventType type;
     bool hasTask;
     bool hasUpstream;
+    bool hasPeer;
     bool hasShard;
     Name team; // empty, like key, if the event belongs to no request
     Key key;
-    Name upstream;
+    Name target; // the upstream or the peer
     Name domain;
 };
 
@@ -51,7 +52,7 @@
     {
         return (!fromMs || entry.stamp.wallMs >= *fromMs) && (!toMs || entry.stamp.wallMs < *toMs)
                && (!key || (entry.key == *key && entry.team == *team))
-               && (!upstream || (entry.hasUpstream && entry.upstream == *upstream));
+               && (!upstream || (entry.hasUpstream && entry.target == *upstream));
     }
 
     std::optional<std::uint64_t> fromMs;
@@ -71,7 +72,9 @@
     if (entry.hasTask)
         event.task = entry.task;
     if (entry.hasUpstream)
-        event.upstream = Base::UpstreamId(entry.upstream.toString());
+        event.upstream = Base::UpstreamId(entry.target.toString());
+    if (entry.hasPeer)
+        event.peer = Base::DaemonId(entry.target.toString());
     if (entry.hasShard)
         event.shard = Base::ShardId{Base::FailureDomainId(entry.domain.toString()), entry.shard};
     event.epoch = entry.epoch;
@@ -128,6 +131,7 @@
     entry->hasTask = info.task.has_value();
     entry->task = info.task.value_or(Base::TaskIndex());
     entry->hasUpstream = info.upstream != nullptr;
+    entry->hasPeer = info.peer != nullptr && !info.upstream;
     entry->hasShard = info.shard != nullptr;
     if (info.request) {
         entry->team.assign(info.request->team.value());
@@ -137,7 +141,9 @@
         entry->key.clear();
     }
     if (info.upstream)
-        entry->upstream.assign(info.upstream->value());
+        entry->target.assign(info.upstream->value());
+    else if (info.peer)
+        entry->target.assign(info.peer->value());
     if (info.shard) {
         entry->domain.assign(info.shard->domain.value());
         entry->shard = info.shard->index;
--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -79,6 +79,8 @@
         result += fmt::format(" task={}", event.task->value());
     if (event.upstream)
         result += fmt::format(" upstream={}", event.upstream->value());
+    if (event.peer)
+        result += fmt::format(" peer={}", event.peer->value());
     if (event.shard)
         result +=
             fmt::format(" shard={}/{}", event.shard->domain.value(), event.shard->index.value());
--- a/src/libs/metrics/exposition.cpp
+++ b/src/libs/metrics/exposition.cpp
@@ -55,11 +55,9 @@
 {
     out += name;
     char separator = '{';
-    const std::pair<std::string_view, std::string_view> pairs[] = {{"kind", labels.kind},
-                                                                   {"team", labels.team},
-                                                                   {"domain", labels.domain},
-                                                                   {"reason", labels.reason},
-                                                                   {"le", bound}};
+    const std::pair<std::string_view, std::string_view> pairs[] = {
+        {"kind", labels.kind},     {"team", labels.team},       {"domain", labels.domain},
+        {"reason", labels.reason}, {"outcome", labels.outcome}, {"le", bound}};
     for (const auto &[label, text] : pairs) {
         if (text.empty())
             continue;
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -32,7 +32,8 @@
 static Labels boundedLabels(const Labels &labels)
 {
     return {Internal::boundedLabelValue(labels.kind), Internal::boundedLabelValue(labels.team),
-            Internal::boundedLabelValue(labels.domain), Internal::boundedLabelValue(labels.reason)};
+            Internal::boundedLabelValue(labels.domain), Internal::boundedLabelValue(labels.reason),
+            Internal::boundedLabelValue(labels.outcome)};
 }
 
 /// Keeps the labels that are set, so that all series of a metric have the same label names.
@@ -41,7 +42,8 @@
     const auto other = [](const std::string &value) {
         return std::string(value.empty() ? "" : OTHER);
     };
-    return {other(labels.kind), other(labels.team), other(labels.domain), other(labels.reason)};
+    return {other(labels.kind), other(labels.team), other(labels.domain), other(labels.reason),
+            other(labels.outcome)};
 }
 
 struct MetricsRegistry::Private
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -22,11 +22,12 @@
     std::string team = {};
     std::string domain = {};
     std::string reason = {};
+    std::string outcome = {};
 
     auto operator<=>(const Labels &other) const
     {
-        return std::tie(kind, team, domain, reason)
-               <=> std::tie(other.kind, other.team, other.domain, other.reason);
+        return std::tie(kind, team, domain, reason, outcome)
+               <=> std::tie(other.kind, other.team, other.domain, other.reason, other.outcome);
     }
     bool operator==(const Labels &) const = default;
 };
