CommandLine: time line of all given daemons

Cause: 'endivepath timeline' printed the JSON of each daemon one after the other, so an operator had to order the events by hand. Change: the replies go through EventLog::renderTimeline, as text or SVG. A daemon without an answer is named in the output and sets the exit code. The case that answered "[]" is replaced, since that is no valid answer: the new cases check the rendered text, the SVG, a refusal and a lost reply. Ruled out: ending at the first daemon without an answer, because the time line is needed most while a daemon is down. Conclusion: tst_commandline passes.

--- a/src/app/endivepath/operatorcommands.cpp
+++ b/src/app/endivepath/operatorcommands.cpp
@@ -5,6 +5,7 @@
 
 #include <base/failure.h>
 #include <base/log.h>
+#include <eventlog/timelinereport.h>
 #include <manifest/manifestreader.h>
 #include <settings/addresses.h>
 
@@ -232,10 +233,13 @@
                            makeFailure(FailureCode::BadRequest, "--team and --key go together"));
     }
     const std::string format = invocation.has("format") ? invocation.value("format") : "text";
-    if (format != "text") {
+    if (format != "text" && format != "svg") {
         return output.fail(ExitCode::Usage,
-                           makeFailure(FailureCode::BadRequest, "--format must be text"));
+                           makeFailure(FailureCode::BadRequest, "--format must be text or svg"));
     }
+    Target target;
+    if (const absl::Status status = openTarget(invocation, target); !status.ok())
+        return output.fail(ExitCode::Usage, status);
     std::uint64_t sinceMs = 0;
     if (const absl::Status status = invocation.readCount("since-ms", 0, UINT64_MAX, sinceMs);
         !status.ok()) {
@@ -251,7 +255,17 @@
         query += query.empty() ? '?' : '&';
         query += fmt::format("{}={}", parameter, percentEncoded(invocation.value(option)));
     }
-    return runAll(invocation, output, "GET", "/v1/events" + query);
+    std::vector<EventLog::DaemonReply> replies;
+    ExitCode code = ExitCode::Ok;
+    for (const std::string &it : target.daemons) {
+        const ApiReply reply = target.client->call("GET", it, "/v1/events" + query);
+        code = worse(code, reply.exitCode);
+        replies.push_back({Base::DaemonId(it), reply.status, reply.text});
+    }
+    const EventLog::TimelineReport report = EventLog::renderTimeline(
+        replies, format == "svg" ? EventLog::TimelineFormat::Svg : EventLog::TimelineFormat::Text);
+    output.print({{"complete", report.complete}, {"timeline", report.output}}, report.output);
+    return code;
 }
 
 /// \a options after those that all operator commands have.
@@ -286,7 +300,7 @@
                      {"key", "K", "Only the request with this key"},
                      {"upstream", "U", "Only events of this upstream"},
                      {"since-ms", "N", "Only events since this time in ms"},
-                     {"format", "FORMAT", "text"}}),
+                     {"format", "FORMAT", "text or svg (default text)"}}),
          showTimeline},
     };
 }
--- a/tests/auto/commandline/tst_commandline.cpp
+++ b/tests/auto/commandline/tst_commandline.cpp
@@ -205,10 +205,19 @@
         {{"log-level", "debug"}, 200, "{}", "PUT /v1/log-level HTTP", 0, ""},
         {{"timeline", "--team", "t", "--key", "a&b", "--since-ms", "5"},
          200,
-         "[]",
+         R"({"daemon":"d1","overwritten":0,"events":[{"type":"drainStarted","wallMs":5,"counter":0,
+             "daemon":"d1"}]})",
          "GET /v1/events?team=t&key=a%26b&sinceMs=5 HTTP",
          0,
-         ""},
+         "drainStarted"},
+        {{"timeline", "--format", "svg"},
+         200,
+         R"({"daemon":"d1","overwritten":0,"events":[]})",
+         "GET /v1/events HTTP",
+         0,
+         "<svg"},
+        {{"timeline"}, 401, "", "GET /v1/events HTTP", 4, "no answer (unauthorized)"},
+        {{"timeline"}, 0, "", "GET /v1/events HTTP", 3, "no answer (timeout)"},
     };
     for (const DaemonCase &it : cases) {
         OneReplyServer server(it.status, it.reply);
