Telemetry: events and metrics of the daemon

Cause: the daemon had no event log and no metrics; JobServiceImpl got a JobObserver that ignores everything. Change: the plugin telemetry owns the event ring, the hybrid clock and the metrics. JobTelemetry records requests, tasks and recoveries; the other services record their own events and register their gauges. Heartbeats carry the hybrid clock. The operators' port answers GET /v1/events and GET /v1/metrics. The status has the member manifestRevision, which the command line expects. Queueing time uses the start time kept in the task's record.

--- a/src/app/endivepathd/daemon.cpp
+++ b/src/app/endivepathd/daemon.cpp
@@ -41,6 +41,9 @@
     const auto add = [this]<class T>(const char *name, std::unique_ptr<T> service) {
         m_registry.add(name, std::move(service));
     };
+    auto telemetry = std::make_unique<Telemetry::TelemetryService>(m_runtime);
+    m_telemetry = telemetry.get();
+    add(Names::TELEMETRY, std::move(telemetry));
     add(Names::PLATFORM_CLIENT, std::make_unique<PlatformClient::PlatformClientService>(m_runtime));
     add(Names::PEER_LINK, std::make_unique<PeerLink::PeerLinkService>(m_runtime));
     add(Names::MANIFEST, std::make_unique<ManifestService::ManifestHolder>(m_runtime));
@@ -50,7 +53,8 @@
     // The router drains after the jobs: its callers are answered by the shards' new owners.
     add(Names::REQUEST_ROUTER, std::make_unique<CallerGateway::RequestRouter>(m_runtime));
     add(Names::OWNERSHIP, std::make_unique<OwnershipService::OwnershipServiceImpl>(m_runtime));
-    add(Names::JOBS, std::make_unique<JobService::JobServiceImpl>(m_runtime, m_observer));
+    add(Names::JOBS,
+        std::make_unique<JobService::JobServiceImpl>(m_runtime, m_telemetry->jobObserver()));
     add(Names::OPERATOR_GATEWAY, std::make_unique<OperatorGateway::OperatorGatewayService>(
                                      m_runtime, [this] { beginDrain(); }));
     add(Names::CALLER_GATEWAY, std::make_unique<CallerGateway::CallerGatewayService>(m_runtime));
@@ -97,6 +101,7 @@
     if (std::exchange(m_isDraining, true))
         return;
     Base::log(Base::LogLevel::Info, "drainStarted", {});
+    m_telemetry->record({.type = EventLog::EventType::DrainStarted});
     m_registry.drainAll([this] {
         // Answers that were just given must still leave the sockets.
         m_timers.schedule(std::chrono::milliseconds(100), [this] { m_io.stop(); });
--- a/src/app/endivepathd/daemon.h
+++ b/src/app/endivepathd/daemon.h
@@ -4,10 +4,10 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <base/asiotimers.h>
-#include <jobs/jobobserver.h>
 #include <kernel/serviceregistry.h>
 #include <settings/daemonsettings.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 
 namespace Daemon {
 
@@ -30,8 +30,8 @@
     Base::AsioTimers m_timers{m_io};
     asio::signal_set m_signals{m_io, SIGINT, SIGTERM};
     const Settings::Runtime m_runtime;
-    Jobs::JobObserver m_observer;
     Kernel::ServiceRegistry m_registry;
+    Telemetry::TelemetryService *m_telemetry = nullptr; // owned by the registry
     bool m_isDraining = false;
 };
 
--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -187,6 +187,7 @@
 
 void Coordinator::accept(JobRecord record, Base::Duration wait, ReplyHandler handler)
 {
+    record.acceptedAt = m_context.timers.now();
     JobRecord &stored = m_store.put(std::move(record));
     activate(stored, RecordPhase::Accepting);
     addWaiter(stored, wait, std::move(handler));
--- a/src/libs/jobs/coordinatortasks.cpp
+++ b/src/libs/jobs/coordinatortasks.cpp
@@ -81,6 +81,7 @@
     reference->second.startedAt = now;
     task.phase = TaskPhase::Started;
     task.upstream = upstream;
+    task.startedAt = now;
     ++record->startedCount;
     ++record->attempts;
     m_context.observer.taskStarted(*record, index, upstream);
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -25,6 +25,7 @@
     TaskPhase phase = TaskPhase::Waiting;
     Base::UpstreamId upstream;              // valid unless waiting
     Scheduling::TaskHandle handle;          // valid while the scheduler knows the task
+    Base::TimePoint startedAt;              // valid at the daemon that started it
     std::string result;                     // valid when finished
     int refusals = 0;                       // starts that certainly did not happen
     std::vector<Base::UpstreamId> excluded; // upstreams that must not be given the task again
@@ -61,9 +62,10 @@
     RecordPhase phase = RecordPhase::Replica;
     RecordPhase suspendedPhase = RecordPhase::Replica;            // valid while suspended
     Base::FailureCode suspendedFailure = Base::FailureCode::None; // to be decided after resuming
-    std::optional<RequestView> outcome;       // set from Deciding on, and at replicas once known
-    Base::TimePoint decidedAt;                // valid with an outcome
-    std::optional<Base::TimePoint> expiresAt; // set for outcomes and replicas
+    std::optional<RequestView> outcome;        // set from Deciding on, and at replicas once known
+    std::optional<Base::TimePoint> acceptedAt; // set only at the daemon that accepted it
+    Base::TimePoint decidedAt;                 // valid with an outcome
+    std::optional<Base::TimePoint> expiresAt;  // set for outcomes and replicas
 
     std::vector<TaskEntry> tasks;  // same size as payloads while running
     std::size_t startedCount = 0;  // tasks in phase Started or Finished
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -40,8 +40,10 @@
     std::vector<OwnedShard> owned;
     bool draining = false;
     std::uint64_t queuedTasks = 0;
+    std::uint64_t clockMs = 0; // the sender's hybrid clock, see EventLog::Stamp
+    std::uint32_t clockCounter = 0;
 
-    MSGPACK_DEFINE(manifestRevision, owned, draining, queuedTasks)
+    MSGPACK_DEFINE(manifestRevision, owned, draining, queuedTasks, clockMs, clockCounter)
 };
 
 struct LeaseRequest
--- a/src/plugins/cluster/clusterview.cpp
+++ b/src/plugins/cluster/clusterview.cpp
@@ -24,7 +24,8 @@
 {
     auto *link = registry.find<PeerLink::PeerLinkService>(Kernel::ServiceNames::PEER_LINK);
     m_manifest = registry.find<ManifestService::ManifestHolder>(Kernel::ServiceNames::MANIFEST);
-    EP_ASSERT(link && m_manifest, return Base::makeFailure(Base::FailureCode::Internal,
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
+    EP_ASSERT(link && m_manifest && m_telemetry, return Base::makeFailure(Base::FailureCode::Internal,
                                                            "cluster: missing service"));
     m_port = link;
     link->addListener(m_manifest);
@@ -48,6 +49,9 @@
         heartbeat.owned = m_owned();
     if (m_load)
         heartbeat.queuedTasks = m_load();
+    const EventLog::Stamp stamp = m_telemetry->clock().tick();
+    heartbeat.clockMs = stamp.wallMs;
+    heartbeat.clockCounter = stamp.counter;
     const bool isRemoteTurn = m_beatCount++ % REMOTE_DIVISOR == 0;
     for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
         if (it.domain == m_runtime.settings.domain || isRemoteTurn)
@@ -60,6 +64,7 @@
     const auto *heartbeat = std::get_if<Wire::Heartbeat>(&message);
     if (!heartbeat)
         return;
+    m_telemetry->clock().merge({heartbeat->clockMs, heartbeat->clockCounter});
     PeerState &state = m_peers[from.daemon];
     state.domain = from.domain;
     state.incarnation = from.incarnation;
--- a/src/plugins/cluster/clusterview.h
+++ b/src/plugins/cluster/clusterview.h
@@ -5,6 +5,7 @@
 #include <kernel/service.h>
 #include <manifestservice/manifestservice.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 #include <wire/peerport.h>
 
 #include <functional>
@@ -60,6 +61,7 @@
     const Settings::Runtime m_runtime;
     Wire::PeerPort *m_port = nullptr;
     ManifestService::ManifestHolder *m_manifest = nullptr;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     OwnedProvider m_owned;
     LoadProvider m_load;
     std::map<Base::DaemonId, PeerState> m_peers; // daemons heard of in this run
--- a/src/plugins/jobservice/jobservice.cpp
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -50,7 +50,9 @@
     m_cluster = registry.find<Cluster::ClusterView>(Names::CLUSTER);
     m_membership = registry.find<Membership::MembershipService>(Names::MEMBERSHIP);
     m_ownership = registry.find<OwnershipService::OwnershipServiceImpl>(Names::OWNERSHIP);
-    EP_ASSERT(link && workers && manifest && m_cluster && m_membership && m_ownership,
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Names::TELEMETRY);
+    EP_ASSERT(link && workers && manifest && m_cluster && m_membership && m_ownership
+                  && m_telemetry,
               return Base::makeFailure(FailureCode::Internal, "jobs: missing service"));
     const Settings::LimitSettings &limits = m_runtime.settings.limits;
     Scheduling::SchedulerOptions options;
@@ -69,6 +71,7 @@
     m_shares = std::make_unique<Scheduling::SlotShares>(m_runtime.timers, *link, *this,
                                                         m_runtime.settings.daemon,
                                                         m_runtime.incarnation, slotShareOptions());
+    registerGauges();
     link->addListener(this);
     m_cluster->setLoadProvider([this] { return m_scheduler->queuedCount(); });
     m_membership->observe([this] { applySlotShares(); });
@@ -81,6 +84,37 @@
     return absl::OkStatus();
 }
 
+void JobServiceImpl::registerGauges()
+{
+    const auto add = [this](const char *name, const char *help, auto value) {
+        m_telemetry->metrics().setGauge(name, help,
+                                        [value] { return static_cast<double>(value()); });
+    };
+    add("endivepath_leases", "Shards whose lease is held.",
+        [this] { return m_ownership->ownedShards().size(); });
+    add("endivepath_active_requests", "Requests without a final outcome.",
+        [this] { return m_coordinator->activeCount(); });
+    add("endivepath_records", "Records held, also for other daemons.",
+        [this] { return m_coordinator->store().count(); });
+    add("endivepath_record_bytes", "Memory of the records.",
+        [this] { return m_coordinator->store().bytes(); });
+    add("endivepath_queued_tasks", "Tasks that wait for a slot.",
+        [this] { return m_scheduler->queuedCount(); });
+    add("endivepath_started_tasks", "Tasks that hold a slot.",
+        [this] { return m_scheduler->startedCount(); });
+}
+
+void JobServiceImpl::recordLease(EventLog::EventType type, Base::ShardIndex shard,
+                                 Base::Epoch epoch)
+{
+    const Base::ShardId id{m_runtime.settings.domain, shard};
+    EventLog::EventInfo event;
+    event.type = type;
+    event.shard = &id;
+    event.epoch = epoch;
+    m_telemetry->record(event);
+}
+
 void JobServiceImpl::stop()
 {
     m_runtime.timers.cancel(m_exchangeTimer);
@@ -158,12 +192,14 @@
 {
     Base::log(completeKnowledge ? Base::LogLevel::Info : Base::LogLevel::Error, "shardAcquired",
               {{"shard", shard}, {"epoch", epoch}, {"completeKnowledge", completeKnowledge}});
+    recordLease(EventLog::EventType::LeaseGained, shard, epoch);
     m_coordinator->shardAcquired(shard, epoch, completeKnowledge);
 }
 
 void JobServiceImpl::shardLost(Base::ShardIndex shard)
 {
     Base::log(Base::LogLevel::Warning, "shardLost", {{"shard", shard}});
+    recordLease(EventLog::EventType::LeaseLost, shard, {});
     m_coordinator->shardLost(shard);
 }
 
--- a/src/plugins/jobservice/jobservice.h
+++ b/src/plugins/jobservice/jobservice.h
@@ -11,6 +11,7 @@
 #include <scheduling/queuescheduler.h>
 #include <scheduling/slotshares.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 
 #include <memory>
 
@@ -53,12 +54,15 @@
 private:
     void exchangeSlots();
     void applySlotShares();
+    void registerGauges();
+    void recordLease(EventLog::EventType type, Base::ShardIndex shard, Base::Epoch epoch);
     void handOverShards();
     void handOverShard(Base::ShardIndex shard);
     void checkDrained();
 
     const Settings::Runtime m_runtime;
     Jobs::JobObserver &m_observer;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     Cluster::ClusterView *m_cluster = nullptr;
     Membership::MembershipService *m_membership = nullptr;
     OwnershipService::OwnershipServiceImpl *m_ownership = nullptr;
--- a/src/plugins/manifestservice/manifestservice.cpp
+++ b/src/plugins/manifestservice/manifestservice.cpp
@@ -34,8 +34,12 @@
     m_table = registry.find<Platform::Table>(Kernel::ServiceNames::PLATFORM_CLIENT);
     m_objects = registry.find<Platform::ObjectStore>(Kernel::ServiceNames::PLATFORM_CLIENT);
     m_peers = registry.find<Wire::PeerPort>(Kernel::ServiceNames::PEER_LINK);
-    EP_ASSERT(m_table && m_objects && m_peers,
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
+    EP_ASSERT(m_table && m_objects && m_peers && m_telemetry,
               return makeFailure(FailureCode::Internal, "manifest: missing service"));
+    m_telemetry->metrics().setGauge("endivepath_manifest_revision",
+                                    "Revision of the manifest in force; 0 before the first.",
+                                    [this] { return static_cast<double>(revision().value()); });
     poll();
     return absl::OkStatus();
 }
@@ -96,12 +100,20 @@
                                      {{"revision", head.revision}});
                            return;
                        }
-                       if (!apply(body))
+                       if (!apply(body, head.revision))
                            m_refusedRevision = std::max(m_refusedRevision, head.revision);
                    });
 }
 
-bool ManifestHolder::apply(const std::string &body)
+void ManifestHolder::record(EventLog::EventType type, Base::Revision revision)
+{
+    EventLog::EventInfo event;
+    event.type = type;
+    event.detail = static_cast<std::int64_t>(revision.value());
+    m_telemetry->record(event);
+}
+
+bool ManifestHolder::apply(const std::string &body, Base::Revision announced)
 {
     Settings::FaultList faults;
     const auto manifest = Manifest::parseManifest(body, faults);
@@ -112,11 +124,13 @@
     if (!manifest || !faults.isEmpty()) {
         Base::log(Base::LogLevel::Error, "manifestRefused",
                   {{"inForce", revision()}, {"faults", Base::failureMessage(faults.status())}});
+        record(EventLog::EventType::ManifestRefused, announced);
         return false;
     }
     m_current = std::make_shared<const Manifest::Manifest>(*manifest);
     m_body = body;
     Base::log(Base::LogLevel::Info, "manifestApplied", {{"revision", m_current->revision}});
+    record(EventLog::EventType::ManifestApplied, m_current->revision);
     for (const Observer &it : m_observers)
         it(m_current);
     return true;
@@ -135,7 +149,7 @@
         if (m_current && fetch->revision <= revision().value())
             m_peers->send(from.daemon, Wire::ManifestBody{revision().value(), m_body});
     } else if (const auto *body = std::get_if<Wire::ManifestBody>(&message)) {
-        apply(body->body);
+        apply(body->body, Base::Revision(body->revision));
     }
 }
 
@@ -208,7 +222,7 @@
         SubmitResult result;
         result.status = status;
         if (status.ok())
-            apply(body);
+            apply(body, revision);
         result.currentRevision = this->revision();
         callback(result);
     });
--- a/src/plugins/manifestservice/manifestservice.h
+++ b/src/plugins/manifestservice/manifestservice.h
@@ -7,6 +7,7 @@
 #include <platform/table.h>
 #include <settings/faultlist.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 #include <wire/peerport.h>
 
 #include <functional>
@@ -66,7 +67,8 @@
     static bool decodeHead(const std::string &text, Head &head);
     void poll();
     void headReceived(const Platform::Row &row);
-    bool apply(const std::string &body);
+    bool apply(const std::string &body, Base::Revision announced);
+    void record(EventLog::EventType type, Base::Revision revision);
     void writeHead(Platform::ConditionalWrite write, Base::Revision revision, std::string body,
                    int attempt, const SubmitCallback &callback);
     void resolveHeadWrite(Platform::ConditionalWrite write, Base::Revision revision,
@@ -76,6 +78,7 @@
     Platform::Table *m_table = nullptr;
     Platform::ObjectStore *m_objects = nullptr;
     Wire::PeerPort *m_peers = nullptr;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     Snapshot m_current; // its revision never decreases
     std::string m_body; // text of m_current
     Base::Revision m_refusedRevision;
--- a/src/plugins/membership/membershipservice.cpp
+++ b/src/plugins/membership/membershipservice.cpp
@@ -7,6 +7,8 @@
 #include <kernel/servicenames.h>
 #include <kernel/serviceregistry.h>
 
+#include <limits>
+
 namespace Membership {
 
 /// A leaving upstream gets no new work after 3 s; the poll may use a third of that.
@@ -19,7 +21,16 @@
 absl::Status MembershipService::start(const Kernel::ServiceRegistry &registry)
 {
     m_source = registry.find<Platform::MembershipSource>(Kernel::ServiceNames::PLATFORM_CLIENT);
-    EP_ASSERT(m_source, return Base::makeFailure(Base::FailureCode::Internal, "no platform client"));
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
+    EP_ASSERT(m_source && m_telemetry, return Base::makeFailure(Base::FailureCode::Internal,
+                                                                "membership: missing service"));
+    m_telemetry->metrics().setGauge("endivepath_membership_age_seconds",
+                                    "Age of the membership list; NaN before the first list.",
+                                    [this] {
+                                        const auto value = age();
+                                        return value ? std::chrono::duration<double>(*value).count()
+                                                     : std::numeric_limits<double>::quiet_NaN();
+                                    });
     poll();
     return absl::OkStatus();
 }
@@ -44,6 +55,10 @@
                 return;
             m_hosts = std::move(hosts);
             Base::log(Base::LogLevel::Info, "membershipChanged", {{"hosts", m_hosts.size()}});
+            EventLog::EventInfo event;
+            event.type = EventLog::EventType::MembershipChanged;
+            event.detail = static_cast<std::int64_t>(m_hosts.size());
+            m_telemetry->record(event);
             for (const Observer &it : m_observers)
                 it();
         });
--- a/src/plugins/membership/membershipservice.h
+++ b/src/plugins/membership/membershipservice.h
@@ -4,6 +4,7 @@
 #include <kernel/service.h>
 #include <platform/membershipsource.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 
 #include <functional>
 #include <map>
@@ -36,6 +37,7 @@
 
     const Settings::Runtime m_runtime;
     Platform::MembershipSource *m_source = nullptr;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     std::map<std::string, Platform::HostState> m_hosts;
     std::optional<Base::TimePoint> m_receivedAt;
     std::vector<Observer> m_observers;
--- a/src/plugins/operatorgateway/operatorgateway.cpp
+++ b/src/plugins/operatorgateway/operatorgateway.cpp
@@ -4,6 +4,7 @@
 #include <base/failure.h>
 #include <base/log.h>
 #include <base/softassert.h>
+#include <eventlog/eventjson.h>
 #include <kernel/servicenames.h>
 #include <kernel/serviceregistry.h>
 
@@ -20,6 +21,8 @@
 /// A manifest of 2,800 upstreams has about 1 MB.
 static constexpr std::uint32_t MAX_BODY_BYTES = 8U << 20;
 static constexpr std::uint32_t MAX_CONNECTIONS = 64;
+/// Bounds how long one query of the events holds up the loop.
+static constexpr std::size_t MAX_EVENTS_PER_REPLY = 10'000;
 
 OperatorGatewayService::OperatorGatewayService(const Settings::Runtime &runtime,
                                                std::function<void()> requestDrain)
@@ -36,7 +39,9 @@
     m_manifest = registry.find<ManifestService::ManifestHolder>(Names::MANIFEST);
     m_membership = registry.find<Membership::MembershipService>(Names::MEMBERSHIP);
     m_ownership = registry.find<OwnershipService::OwnershipServiceImpl>(Names::OWNERSHIP);
-    EP_ASSERT(m_cluster && m_router && m_jobs && m_manifest && m_membership && m_ownership,
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Names::TELEMETRY);
+    EP_ASSERT(m_cluster && m_router && m_jobs && m_manifest && m_membership && m_ownership
+                  && m_telemetry,
               return Base::makeFailure(FailureCode::Internal, "operator gateway: missing service"));
     Http::ServerOptions options;
     options.address = m_runtime.settings.operators.address;
@@ -82,6 +87,10 @@
     }
     if (request.matches("GET", {"v1", "status"})) {
         respond({200, status(), "application/json", 0});
+    } else if (request.matches("GET", {"v1", "events"})) {
+        sendEvents(request, respond);
+    } else if (request.matches("GET", {"v1", "metrics"})) {
+        respond({200, m_telemetry->metrics().toText(), "text/plain; version=0.0.4", 0});
     } else if (request.matches("GET", {"v1", "manifest"})) {
         if (m_manifest->current())
             respond({200, m_manifest->body(), "application/json", 0});
@@ -129,7 +138,7 @@
     return json({{"daemon", m_runtime.settings.daemon.value()},
                  {"domain", m_runtime.settings.domain.value()},
                  {"incarnation", m_runtime.incarnation.value()},
-                 {"revision", m_manifest->revision().value()},
+                 {"manifestRevision", m_manifest->revision().value()},
                  {"refusedRevision", m_manifest->refusedRevision().value()},
                  {"draining", m_cluster->isDraining()},
                  {"activeRequests", m_jobs->coordinator().activeCount()},
@@ -144,13 +153,47 @@
         .dump();
 }
 
+static bool parseNumber(const std::string &text, std::uint64_t &number)
+{
+    const char *end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data(), end, number);
+    return ec == std::errc() && rest == end;
+}
+
+void OperatorGatewayService::sendEvents(const Http::Request &request,
+                                        const Http::Respond &respond) const
+{
+    EventLog::EventFilter filter;
+    filter.limit = MAX_EVENTS_PER_REPLY;
+    if (request.query.contains("team") != request.query.contains("key")) {
+        respond(
+            failureResponse(400, FailureCode::BadRequest, "parameters team and key go together"));
+        return;
+    }
+    if (request.query.contains("key")) {
+        filter.request = {Base::TeamId(request.parameter("team")),
+                          Base::RequestKey(request.parameter("key"))};
+    }
+    if (request.query.contains("upstream"))
+        filter.upstream = Base::UpstreamId(request.parameter("upstream"));
+    if (request.query.contains("sinceMs")) {
+        std::uint64_t sinceMs = 0;
+        if (!parseNumber(request.parameter("sinceMs"), sinceMs)) {
+            respond(failureResponse(400, FailureCode::BadRequest,
+                                    "parameter sinceMs must be a number"));
+            return;
+        }
+        filter.fromMs = sinceMs;
+    }
+    respond({200, EventLog::daemonEventsToJson(m_telemetry->events().query(filter)),
+             "application/json", 0});
+}
+
 void OperatorGatewayService::submitManifest(const Http::Request &request,
                                             const Http::Respond &respond)
 {
     std::uint64_t parent = 0;
-    const std::string text = request.parameter("parent");
-    const auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), parent);
-    if (ec != std::errc() || rest != text.data() + text.size()) {
+    if (!parseNumber(request.parameter("parent"), parent)) {
         respond(failureResponse(400, FailureCode::BadRequest, "parameter parent must be a number"));
         return;
     }
@@ -180,10 +223,8 @@
                                           const Http::Respond &respond)
 {
     std::uint64_t index = 0;
-    const std::string &text = request.path[3];
-    const auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), index);
-    const bool isValid = ec == std::errc() && rest == text.data() + text.size()
-                         && m_ownership->ownership() && index < m_ownership->shardCount()
+    const bool isValid = parseNumber(request.path[3], index) && m_ownership->ownership()
+                         && index < m_ownership->shardCount()
                          && request.path[2] == m_runtime.settings.domain.value();
     if (!isValid) {
         respond(failureResponse(400, FailureCode::BadRequest,
--- a/src/plugins/operatorgateway/operatorgateway.h
+++ b/src/plugins/operatorgateway/operatorgateway.h
@@ -10,6 +10,7 @@
 #include <membership/membershipservice.h>
 #include <ownershipservice/ownershipservice.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 
 #include <functional>
 #include <memory>
@@ -30,6 +31,7 @@
     void handle(const Http::Request &request, const Http::Respond &respond);
     bool isAuthorized(const Http::Request &request) const;
     std::string status() const;
+    void sendEvents(const Http::Request &request, const Http::Respond &respond) const;
     void submitManifest(const Http::Request &request, const Http::Respond &respond);
     void recoverShard(const Http::Request &request, const Http::Respond &respond);
     static void setLogLevel(const Http::Request &request, const Http::Respond &respond);
@@ -42,6 +44,7 @@
     ManifestService::ManifestHolder *m_manifest = nullptr;
     Membership::MembershipService *m_membership = nullptr;
     OwnershipService::OwnershipServiceImpl *m_ownership = nullptr;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
     std::unique_ptr<Http::Server> m_server;
 };
 
--- a/src/plugins/peerlink/peerlink.cpp
+++ b/src/plugins/peerlink/peerlink.cpp
@@ -5,6 +5,9 @@
 
 #include <base/failure.h>
 #include <base/log.h>
+#include <base/softassert.h>
+#include <kernel/servicenames.h>
+#include <kernel/serviceregistry.h>
 #include <wire/codec.h>
 
 #include <utility>
@@ -21,8 +24,15 @@
     PeerLinkService::stop();
 }
 
-absl::Status PeerLinkService::start(const Kernel::ServiceRegistry &)
+absl::Status PeerLinkService::start(const Kernel::ServiceRegistry &registry)
 {
+    m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
+    EP_ASSERT(m_telemetry, return Base::makeFailure(Base::FailureCode::Internal,
+                                                    "peer link: missing service"));
+    m_sentMessages = m_telemetry->metrics().counter("endivepath_peer_messages_sent",
+                                                    "Messages queued for other daemons.");
+    m_sentBytes = m_telemetry->metrics().counter("endivepath_peer_bytes_sent",
+                                                 "Bytes of the messages queued for other daemons.");
     const Settings::Endpoint &own = m_runtime.settings.peerEndpoint;
     try {
         const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(own.address), own.port);
@@ -90,6 +100,10 @@
 
 void PeerLinkService::stateChanged(const Settings::PeerSettings &peer, bool isUp)
 {
+    EventLog::EventInfo event;
+    event.type = isUp ? EventLog::EventType::PeerConnected : EventLog::EventType::PeerDisconnected;
+    event.peer = &peer.daemon;
+    m_telemetry->record(event);
     if (isUp) {
         Base::log(Base::LogLevel::Info, "peerConnected", {{"peer", peer.daemon}});
         return;
@@ -107,8 +121,8 @@
     const std::size_t n = frame.size();
     if (!it->second->send(std::move(frame)))
         return false;
-    m_sentBytes += n;
-    ++m_sentMessages;
+    m_sentBytes.add(n);
+    m_sentMessages.add();
     return true;
 }
 
--- a/src/plugins/peerlink/peerlink.h
+++ b/src/plugins/peerlink/peerlink.h
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <kernel/service.h>
 #include <settings/runtime.h>
+#include <telemetry/telemetryservice.h>
 #include <wire/peerport.h>
 
 #include <map>
@@ -33,9 +34,6 @@
     bool send(const Base::DaemonId &peer, const Wire::Message &message) override;
     bool isConnected(const Base::DaemonId &peer) const override;
 
-    std::uint64_t sentBytes() const { return m_sentBytes; }
-    std::uint64_t sentMessages() const { return m_sentMessages; }
-
 private:
     void accept();
     void messageReceived(const Wire::PeerIdentity &from, const Wire::Message &message);
@@ -47,8 +45,9 @@
     std::map<std::uint64_t, std::shared_ptr<InboundConnection>> m_inbound;
     std::uint64_t m_lastInbound = 0;
     std::vector<Wire::PeerListener *> m_listeners;
-    std::uint64_t m_sentBytes = 0;
-    std::uint64_t m_sentMessages = 0;
+    Telemetry::TelemetryService *m_telemetry = nullptr;
+    Metrics::Counter m_sentBytes;
+    Metrics::Counter m_sentMessages;
 };
 
 } // namespace PeerLink
--- /dev/null
+++ b/src/plugins/telemetry/telemetryservice.cpp
@@ -0,0 +1,24 @@
+// Construction and the gauges of the event log.
+#include "telemetryservice.h"
+
+namespace Telemetry {
+
+/// 20 MB, and 20 s of events at 5,000 task starts a second.
+static constexpr std::size_t EVENT_CAPACITY = 100'000;
+
+TelemetryService::TelemetryService(const Settings::Runtime &runtime)
+    : m_events(runtime.settings.daemon, m_clock, EVENT_CAPACITY)
+    , m_jobs(m_events, m_metrics, runtime.timers)
+{}
+
+absl::Status TelemetryService::start(const Kernel::ServiceRegistry &)
+{
+    m_metrics.setGauge("endivepath_events_overwritten", "Events lost from the ring.",
+                       [this] { return static_cast<double>(m_events.overwritten()); });
+    m_metrics.setGauge("endivepath_clock_rejected_stamps",
+                       "Stamps of peers that were too far ahead.",
+                       [this] { return static_cast<double>(m_clock.rejectedStamps()); });
+    return absl::OkStatus();
+}
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/plugins/telemetry/telemetryservice.h
@@ -0,0 +1,36 @@
+// Event log, hybrid clock and metrics of the daemon.
+#pragma once
+
+#include "jobtelemetry.h"
+
+#include <eventlog/eventring.h>
+#include <eventlog/hybridclock.h>
+#include <kernel/service.h>
+#include <metrics/metricsregistry.h>
+#include <settings/runtime.h>
+
+namespace Telemetry {
+
+/// Must be registered before the services that record here. Usable from its construction on.
+class TelemetryService : public Kernel::Service
+{
+public:
+    explicit TelemetryService(const Settings::Runtime &runtime);
+
+    absl::Status start(const Kernel::ServiceRegistry &registry) override;
+
+    EventLog::HybridClock &clock() { return m_clock; }
+    const EventLog::EventRing &events() const { return m_events; }
+    Metrics::MetricsRegistry &metrics() { return m_metrics; }
+    Jobs::JobObserver &jobObserver() { return m_jobs; }
+
+    void record(const EventLog::EventInfo &event) { m_events.record(event); }
+
+private:
+    EventLog::HybridClock m_clock;
+    EventLog::EventRing m_events;
+    Metrics::MetricsRegistry m_metrics;
+    JobTelemetry m_jobs;
+};
+
+} // namespace Telemetry
--- a/tools/eventbench/main.cpp
+++ b/tools/eventbench/main.cpp
@@ -1,8 +1,11 @@
 // Measures what recording costs on one thread. Prints one line per operation: the median and the
 // best of several rounds in nanoseconds per operation.
+#include <base/asiotimers.h>
 #include <eventlog/eventring.h>
 #include <metrics/metricsregistry.h>
+#include <telemetry/jobtelemetry.h>
 
+#include <asio/io_context.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -67,9 +70,40 @@
             [&](int) { registry.counter("bench_starts", "Starts.", {.kind = "probe"}).add(); });
 }
 
+/// What the jobs library pays for each task.
+static void measureTasks()
+{
+    asio::io_context io(1);
+    const Base::AsioTimers timers(io);
+    EventLog::HybridClock clock;
+    EventLog::EventRing ring(Base::DaemonId("entry-1"), clock, 100'000);
+    Metrics::MetricsRegistry metrics;
+    Telemetry::JobTelemetry telemetry(ring, metrics, timers);
+    const Base::UpstreamId upstream("worker-17");
+    Jobs::JobRecord record;
+    record.id = {Base::TeamId("kalkan"),
+                 Base::RequestKey("medeu:5f3a9a52-93b1-4c1e-9f0e-0d2f6f1f5a11")};
+    record.kind = Base::KindId("audit");
+    record.shard = {Base::FailureDomainId("medeu"), Base::ShardIndex(3)};
+    record.epoch = Base::Epoch(12);
+    record.acceptedAt = timers.now();
+    record.tasks.resize(1);
+    record.tasks[0].upstream = upstream;
+    record.tasks[0].startedAt = timers.now();
+    record.outcome = Jobs::RequestView{Jobs::RequestState::Complete, {}, {}, {}};
+    Jobs::JobObserver none;
+    for (Jobs::JobObserver *it : {&none, static_cast<Jobs::JobObserver *>(&telemetry)}) {
+        fmt::print("{}\n", it == &none ? "without recording:" : "with recording:");
+        measure("task started", [&](int) { it->taskStarted(record, 0, upstream); });
+        measure("task ended", [&](int) { it->taskEnded(record, 0, Base::FailureCode::None); });
+        measure("request decided", [&](int) { it->requestDecided(record); });
+    }
+}
+
 int main()
 {
     measureEvents();
     measureMetrics();
+    measureTasks();
     return 0;
 }
