CallerGateway: bound the nesting of requests

Cause: a request with a task of about a million nested arrays (2 MB, within the body's bound) crashed the daemon: the JSON library parses any depth, but writes recursively and overflowed the stack. Change: bodies nested deeper than 100 levels are refused with tooLarge before they are parsed. Ruled out: the parser's callback, which would be called for every value. Conclusion: a caller's body can no longer end the daemon this way.

--- a/src/plugins/callergateway/requestcodec.cpp
+++ b/src/plugins/callergateway/requestcodec.cpp
@@ -2,6 +2,7 @@
 #include "requestcodec.h"
 
 #include <base/failure.h>
+#include <base/jsonnesting.h>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,8 @@
 
 /// A deadline or wait beyond a day is a mistake of the caller.
 static constexpr std::int64_t MAX_DURATION_MS = 24LL * 3600 * 1000;
+/// Writing a task recurses once for each level.
+static constexpr std::size_t MAX_NESTING = 100;
 static constexpr std::array KNOWN_MEMBERS{
     "team", "key", "kind", "tasks", "deadlineMs", "waitMs", "firstSubmission", "nonRepeatable"};
 
@@ -102,6 +105,10 @@
 {
     if (text.size() > limits.maxBodyBytes)
         return makeFailure(FailureCode::TooLarge, "the body is too large");
+    if (Base::isNestedDeeper(text, MAX_NESTING)) {
+        return makeFailure(FailureCode::TooLarge,
+                           fmt::format("the body is nested deeper than {} levels", MAX_NESTING));
+    }
     const json body = json::parse(text, nullptr, false);
     if (!body.is_object())
         return makeFailure(FailureCode::BadRequest, "the body must be a JSON object");
