EventLog: test of peers in events

Cause: no test covered the new member, which shares its place in the ring with the upstream. Change: a case for the way to the operator, the filter and a used entry. Ruled out: extending jsonRoundTrip, whose events all have an upstream.

--- a/tests/auto/eventlog/tst_eventlog.cpp
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -142,6 +142,29 @@
     }
 }
 
+// Guards against peers that are lost on the way to the operator or shown as upstreams, also in an
+// entry that is used again.
+BOOST_FIXTURE_TEST_CASE(peersAreNotUpstreams, Fixture)
+{
+    EventRing ring(Base::DaemonId("d1"), clock, 1);
+    const Base::DaemonId peer("worker-1"); // the name of an upstream
+    EventInfo connected{EventType::PeerConnected};
+    connected.peer = &peer;
+    ring.record(info(EventType::Started));
+    ring.record(connected);
+    BOOST_TEST(ring.query({.upstream = upstream}).events.empty());
+    DaemonEvents received;
+    BOOST_REQUIRE(daemonEventsFromJson(daemonEventsToJson(ring.query({})), received).ok());
+    BOOST_REQUIRE(received.events.size() == 1);
+    BOOST_CHECK(received.events[0].peer == peer);
+    BOOST_CHECK(!received.events[0].upstream);
+    BOOST_TEST(count(Timeline({received}).toText(), "peerConnected peer=worker-1") == 1);
+
+    ring.record(info(EventType::Started));
+    BOOST_CHECK(!ring.query({}).events.at(0).peer);
+    BOOST_CHECK(ring.query({}).events.at(0).upstream == upstream);
+}
+
 // Guards against members that are lost on the way to the command line, and hostile answers.
 BOOST_FIXTURE_TEST_CASE(jsonRoundTrip, Fixture)
 {
