--- a/src/plugins/jobservice/jobservice.cpp
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -253,13 +253,21 @@
     });
 }
 
+bool JobServiceImpl::hasSuccessor() const
+{
+    const auto &peers = m_cluster->peers();
+    return std::any_of(peers.begin(), peers.end(), [this](const auto &it) {
+        return it.second.domain == m_runtime.settings.domain && !it.second.isDraining
+               && m_cluster->isAlive(it.first);
+    });
+}
+
 void JobServiceImpl::checkDrained()
 {
     const bool isDone = m_coordinator->activeCount() == 0 && m_ownership->ownedShards().empty();
     // With the platform away a shard can't be handed over; its work is finished here instead.
     const bool isAlone =
-        m_coordinator->activeCount() == 0
-        && (m_hasHandOverFailed || m_cluster->reachableDaemons(m_runtime.settings.domain).empty());
+        m_coordinator->activeCount() == 0 && (m_hasHandOverFailed || !hasSuccessor());
     if (isDone || isAlone || m_runtime.timers.now() >= m_drainDeadline) {
         if (!isDone && !isAlone) {
             Base::log(Base::LogLevel::Error, "drainIncomplete",
--- a/src/plugins/jobservice/jobservice.h
+++ b/src/plugins/jobservice/jobservice.h
@@ -59,6 +59,8 @@
     void handOverShards();
     void handOverShard(Base::ShardIndex shard);
     void checkDrained();
+    /// Whether a daemon of the failure domain lives that is not draining.
+    bool hasSuccessor() const;
 
     const Settings::Runtime m_runtime;
     Jobs::JobObserver &m_observer;
