Jobs: a budget bounds the retries of repeatable requests

Cause: up to four attempts for each repeatable request, without a common bound, would multiply the load when many upstreams fail.

Change: retries draw on Scheduling::RetryBudget (a tenth of the successes, at least 5 a second).

Ruled out: a budget for each team (the failing part is the upstreams).

--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -33,6 +33,8 @@
 sleep 2
 measure "jobs, 2000 task starts/s in the domain" 6
 wait "$load_pid"
+echo "records after the jobs: $(metric 7201 endivepath_records)," \
+    "$(metric 7201 endivepath_record_bytes) bytes by the daemon's own account"
 load 1000 probeCheck:1:1:10 cap-b- & load_pid=$!
 sleep 2
 measure "singles, 1000/s at this daemon" 6
--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -24,6 +24,8 @@
     , m_replicator(m_context.timers, m_context.peers, m_context.authority,
                    [this](Base::ShardIndex shard) { return incompleteTime(shard); })
     , m_runner(m_context.timers, m_context.workers)
+    , m_retryBudget(Constants::RETRIES_PER_SUCCESS, Constants::MIN_RETRIES_PER_SECOND,
+                    Constants::MAX_SAVED_RETRIES)
 {
     m_sweepTimer = m_context.timers.schedule(Constants::RETENTION_SWEEP_MS, [this] { sweep(); });
 }
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -14,6 +14,7 @@
 
 #include <base/timers.h>
 #include <manifest/manifest.h>
+#include <scheduling/retrybudget.h>
 #include <scheduling/taskscheduler.h>
 
 #include <map>
@@ -164,6 +165,7 @@
     RecordStore m_store;
     Replicator m_replicator;
     TaskRunner m_runner;
+    Scheduling::RetryBudget m_retryBudget;
     std::unordered_map<Scheduling::TaskHandle, TaskReference>
         m_handles; // tasks the scheduler knows
     std::uint64_t m_lastHandle = 0;
--- a/src/libs/jobs/coordinatortasks.cpp
+++ b/src/libs/jobs/coordinatortasks.cpp
@@ -194,6 +194,8 @@
     task.phase = TaskPhase::Finished;
     task.result = result;
     ++record.finishedCount;
+    if (record.isRepeatable)
+        m_retryBudget.taskSucceeded();
     finishIfWhole(record);
 }
 
@@ -214,7 +216,8 @@
 {
     if (!record.isRepeatable || record.attempts >= Constants::MAX_REPEATABLE_ATTEMPTS)
         return false;
-    if (m_context.timers.now() >= record.deadline)
+    const Base::TimePoint now = m_context.timers.now();
+    if (now >= record.deadline || !m_retryBudget.tryRetry(now))
         return false;
     TaskEntry &task = record.tasks[index];
     task.phase = TaskPhase::Waiting;
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -29,6 +29,11 @@
 constexpr std::chrono::milliseconds RETENTION_SWEEP_MS{1000};
 /// Repeatable requests are tried on this many upstreams at most.
 constexpr int MAX_REPEATABLE_ATTEMPTS = 4;
+/// Retries earned by each success of a repeatable task, and by time, so that an outage of many
+/// upstreams is not multiplied by retries.
+constexpr double RETRIES_PER_SUCCESS = 0.1;
+constexpr double MIN_RETRIES_PER_SECOND = 5;
+constexpr double MAX_SAVED_RETRIES = 100;
 /// Fixed part of a record's memory, added to its texts.
 constexpr std::size_t RECORD_OVERHEAD_BYTES = 512;
 constexpr std::size_t TASK_OVERHEAD_BYTES = 128;
