--- a/src/plugins/manifestservice/manifestservice.cpp
+++ b/src/plugins/manifestservice/manifestservice.cpp
@@ -22,8 +22,18 @@
 static constexpr char HEAD_KEY[] = "manifest/head";
 static constexpr std::chrono::milliseconds POLL_INTERVAL_MS{2000};
 static constexpr std::chrono::milliseconds RESOLVE_INTERVAL_MS{500};
+/// Until a manifest is in force, the table is asked this often.
+static constexpr std::chrono::milliseconds FIRST_POLL_MS{500};
+/// Peers connect and send heartbeats within a second.
+static constexpr std::chrono::milliseconds FIRST_CHOICE_MS{1500};
+/// With a poll every 500 ms, the table must fail for 4 s before the word of peers is enough.
+static constexpr int MAX_TABLE_FAILURES = 8;
+/// After this many periods a peer that told of a higher revision counts as lost.
+static constexpr int MAX_FIRST_CHOICES = 8;
 /// Reads and repeats of a head write whose reply was lost, before the operator is told.
 static constexpr int MAX_RESOLVE_ATTEMPTS = 6;
+/// Verifications of restarting daemons that a submission may meet before it is given up.
+static constexpr int MAX_CONFLICTS = 20;
 
 ManifestHolder::ManifestHolder(const Settings::Runtime &runtime)
     : m_runtime(runtime)
@@ -40,6 +50,7 @@
     m_telemetry->metrics().setGauge("endivepath_manifest_revision",
                                     "Revision of the manifest in force; 0 before the first.",
                                     [this] { return static_cast<double>(revision().value()); });
+    m_firstChoiceTimer = m_runtime.timers.schedule(FIRST_CHOICE_MS, [this] { chooseFirst(); });
     poll();
     return absl::OkStatus();
 }
@@ -47,6 +58,7 @@
 void ManifestHolder::stop()
 {
     m_runtime.timers.cancel(m_pollTimer);
+    m_runtime.timers.cancel(m_firstChoiceTimer);
 }
 
 Base::Revision ManifestHolder::revision() const
@@ -74,13 +86,23 @@
 
 void ManifestHolder::poll()
 {
-    m_pollTimer = m_runtime.timers.schedule(POLL_INTERVAL_MS, [this] { poll(); });
+    m_pollTimer =
+        m_runtime.timers.schedule(m_current ? POLL_INTERVAL_MS : FIRST_POLL_MS, [this] { poll(); });
     m_table->read(HEAD_KEY, [this](const absl::Status &status, const Platform::Row &row) {
+        // An empty table says nothing of a manifest that a peer may have.
         if (status.ok() && row.version > 0)
             headReceived(row);
+        else
+            ++m_tableFailures;
     });
 }
 
+static bool isValidManifest(const std::string &body)
+{
+    Settings::FaultList faults;
+    return Manifest::parseManifest(body, faults).has_value();
+}
+
 void ManifestHolder::headReceived(const Platform::Row &row)
 {
     Head head;
@@ -89,10 +111,14 @@
         return;
     }
     // An old copy of the table shows a lower revision, which is never applied.
-    if (head.revision <= revision() || head.revision == m_refusedRevision)
+    if (head.revision <= revision())
+        return;
+    if (head.revision == m_refusedRevision) {
+        ++m_tableFailures;
         return;
+    }
     m_objects->get("manifest/" + head.digest,
-                   [this, head](const absl::Status &status, const std::string &body) {
+                   [this, head, row](const absl::Status &status, const std::string &body) {
                        if (!status.ok())
                            return;
                        if (Manifest::manifestDigest(body) != head.digest) {
@@ -100,8 +126,13 @@
                                      {{"revision", head.revision}});
                            return;
                        }
-                       if (!apply(body, head.revision))
+                       if (!m_current && isValidManifest(body)) {
+                           verifyHead(row, body, head.revision);
+                           return;
+                       }
+                       if (!apply(body, head.revision)) {
                            m_refusedRevision = std::max(m_refusedRevision, head.revision);
+                       }
                    });
 }
 
@@ -113,6 +144,54 @@
     m_telemetry->record(event);
 }
 
+void ManifestHolder::bodyReceived(const std::string &body, Base::Revision announced)
+{
+    if (m_current) {
+        apply(body, announced);
+        return;
+    }
+    Settings::FaultList faults;
+    const auto manifest = Manifest::parseManifest(body, faults);
+    if (manifest && manifest->revision > m_peerRevision) {
+        m_peerRevision = manifest->revision;
+        m_peerBody = body;
+    }
+}
+
+void ManifestHolder::chooseFirst()
+{
+    if (m_current)
+        return;
+    m_firstChoiceTimer = m_runtime.timers.schedule(FIRST_CHOICE_MS, [this] { chooseFirst(); });
+    if (m_tableFailures < MAX_TABLE_FAILURES || m_peerBody.empty())
+        return;
+    // A peer knows a higher revision, whose body may have been lost on its way.
+    if (m_peerRevision < m_announced && ++m_choiceAttempts < MAX_FIRST_CHOICES)
+        return;
+    apply(m_peerBody, m_peerRevision);
+}
+
+void ManifestHolder::verifyHead(const Platform::Row &row, const std::string &body,
+                                Base::Revision revision)
+{
+    // A restarted daemon has forgotten which revision it had, and a read may be served from an old
+    // copy. A write on the condition of the version that was read succeeds only if that is current.
+    Platform::ConditionalWrite write{HEAD_KEY, row.value, row.version, nextTransaction()};
+    m_table->compareAndSet(write,
+                           [this, body, revision](const absl::Status &status, std::uint64_t) {
+                               if (!status.ok())
+                                   ++m_tableFailures;
+                               else if (!m_current)
+                                   apply(body, revision);
+                           });
+}
+
+std::string ManifestHolder::nextTransaction()
+{
+    return fmt::format("{}-{}-manifest-{}", m_runtime.settings.daemon.value(),
+                       m_runtime.incarnation.value(), ++m_lastTransaction);
+}
+
 bool ManifestHolder::apply(const std::string &body, Base::Revision announced)
 {
     Settings::FaultList faults;
@@ -138,7 +217,8 @@
 
 void ManifestHolder::revisionAnnounced(const Base::DaemonId &peer, Base::Revision announced)
 {
-    if (announced > revision())
+    m_announced = std::max(m_announced, announced);
+    if (announced > std::max(revision(), m_peerRevision))
         m_peers->send(peer, Wire::ManifestFetch{announced.value()});
 }
 
@@ -149,7 +229,7 @@
         if (m_current && fetch->revision <= revision().value())
             m_peers->send(from.daemon, Wire::ManifestBody{revision().value(), m_body});
     } else if (const auto *body = std::get_if<Wire::ManifestBody>(&message)) {
-        apply(body->body, Base::Revision(body->revision));
+        bodyReceived(body->body, Base::Revision(body->revision));
     }
 }
 
@@ -167,84 +247,82 @@
         callback(result);
         return;
     }
-    m_table->read(HEAD_KEY, [this, body, parent, revision = manifest->revision,
-                             callback](const absl::Status &status, const Platform::Row &row) {
-        SubmitResult outcome;
-        outcome.currentRevision = this->revision();
+    HeadWrite head{{}, parent, manifest->revision, body, std::move(callback)};
+    const std::string digest = Manifest::manifestDigest(body);
+    head.write.key = HEAD_KEY;
+    head.write.value = json({{"revision", head.revision.value()}, {"digest", digest}}).dump();
+    m_objects->put("manifest/" + digest, body, [this, head](const absl::Status &status) {
+        // Without the head row, the object alone has no effect.
+        if (status.ok())
+            retryAfterConflict(head);
+        else
+            reportSubmit(
+                head, makeFailure(FailureCode::PlatformUnavailable, Base::failureMessage(status)));
+    });
+}
+
+void ManifestHolder::retryAfterConflict(HeadWrite head)
+{
+    m_table->read(HEAD_KEY, [this, head = std::move(head)](const absl::Status &status,
+                                                           const Platform::Row &row) mutable {
         if (!status.ok()) {
-            outcome.status = status;
-            callback(outcome);
+            reportSubmit(head, status);
             return;
         }
-        Head head;
-        if (row.version > 0 && decodeHead(row.value, head))
-            outcome.currentRevision = head.revision;
-        if (head.revision != parent || revision <= head.revision) {
-            outcome.status = makeFailure(FailureCode::VersionMismatch,
-                                         fmt::format("the revision in force is {}, not {}",
-                                                     head.revision.value(), parent.value()));
-            callback(outcome);
+        Head current;
+        if (row.version > 0)
+            decodeHead(row.value, current);
+        if (current.revision != head.parent || head.revision <= current.revision) {
+            SubmitResult result;
+            result.status = makeFailure(FailureCode::VersionMismatch,
+                                        fmt::format("the revision in force is {}, not {}",
+                                                    current.revision.value(), head.parent.value()));
+            result.currentRevision = current.revision;
+            head.callback(result);
             return;
         }
-        const std::string digest = Manifest::manifestDigest(body);
-        Platform::ConditionalWrite write;
-        write.key = HEAD_KEY;
-        write.value = json({{"revision", revision.value()}, {"digest", digest}}).dump();
-        write.expectedVersion = row.version;
-        write.transaction = fmt::format("{}-{}-manifest-{}", m_runtime.settings.daemon.value(),
-                                        m_runtime.incarnation.value(), ++m_lastTransaction);
-        m_objects->put("manifest/" + digest, body,
-                       [this, write, revision, body, callback](const absl::Status &putStatus) {
-                           if (!putStatus.ok()) {
-                               // Without the head row, the object alone has no effect.
-                               SubmitResult failed;
-                               failed.status = makeFailure(FailureCode::PlatformUnavailable,
-                                                           Base::failureMessage(putStatus));
-                               failed.currentRevision = this->revision();
-                               callback(failed);
-                               return;
-                           }
-                           writeHead(write, revision, body, 0, callback);
-                       });
+        head.write.expectedVersion = row.version;
+        head.write.transaction = nextTransaction();
+        head.unknownFates = 0;
+        writeHead(head);
     });
 }
 
-void ManifestHolder::writeHead(Platform::ConditionalWrite write, Base::Revision revision,
-                               std::string body, int attempt, const SubmitCallback &callback)
+void ManifestHolder::writeHead(const HeadWrite &head)
 {
-    m_table->compareAndSet(write, [this, write, revision, body = std::move(body), attempt,
-                                   callback](const absl::Status &status, std::uint64_t) mutable {
-        if (Base::failureCode(status) == FailureCode::FateUnknown
-            || (attempt > 0 && Base::failureCode(status) == FailureCode::PlatformUnavailable)) {
-            resolveHeadWrite(std::move(write), revision, std::move(body), attempt + 1, callback);
-            return;
-        }
-        SubmitResult result;
-        result.status = status;
-        if (status.ok())
-            apply(body, revision);
-        result.currentRevision = this->revision();
-        callback(result);
+    m_table->compareAndSet(head.write, [this, head](const absl::Status &status, std::uint64_t) {
+        headWritten(head, status);
     });
 }
 
-void ManifestHolder::resolveHeadWrite(Platform::ConditionalWrite write, Base::Revision revision,
-                                      std::string body, int attempt, const SubmitCallback &callback)
+void ManifestHolder::headWritten(HeadWrite head, const absl::Status &status)
 {
-    if (attempt > MAX_RESOLVE_ATTEMPTS) {
-        SubmitResult result;
-        result.status = makeFailure(FailureCode::FateUnknown,
-                                    "the platform does not say whether the revision was written");
-        result.currentRevision = this->revision();
-        callback(result);
+    const FailureCode code = Base::failureCode(status);
+    const bool isUnknown = code == FailureCode::FateUnknown
+                           || (head.unknownFates > 0 && code == FailureCode::PlatformUnavailable);
+    if (isUnknown && ++head.unknownFates <= MAX_RESOLVE_ATTEMPTS) {
+        // Repeating the write under its transaction id either finds it done or does it now.
+        m_runtime.timers.schedule(RESOLVE_INTERVAL_MS, [this, head] { writeHead(head); });
         return;
     }
-    // Repeating the write under its transaction id either finds it done or does it now.
-    m_runtime.timers.schedule(RESOLVE_INTERVAL_MS, [this, write = std::move(write), revision,
-                                                    body = std::move(body), attempt,
-                                                    callback]() mutable {
-        writeHead(std::move(write), revision, std::move(body), attempt, callback);
-    });
+    if (code == FailureCode::VersionMismatch && ++head.conflicts <= MAX_CONFLICTS) {
+        retryAfterConflict(std::move(head));
+        return;
+    }
+    if (status.ok())
+        apply(head.body, head.revision);
+    reportSubmit(head, isUnknown ? makeFailure(FailureCode::FateUnknown,
+                                               "the platform does not say whether the revision "
+                                               "was written")
+                                 : status);
+}
+
+void ManifestHolder::reportSubmit(const HeadWrite &head, const absl::Status &status)
+{
+    SubmitResult result;
+    result.status = status;
+    result.currentRevision = revision();
+    head.callback(result);
 }
 
 } // namespace ManifestService
--- a/src/plugins/manifestservice/manifestservice.h
+++ b/src/plugins/manifestservice/manifestservice.h
@@ -64,15 +64,35 @@
         std::string digest;
     };
 
+    /// A submission on its way into the table.
+    struct HeadWrite
+    {
+        Platform::ConditionalWrite write;
+        Base::Revision parent;
+        Base::Revision revision;
+        std::string body;
+        SubmitCallback callback;
+        int unknownFates = 0; // of the same write
+        int conflicts = 0;    // with other writes
+    };
+
     static bool decodeHead(const std::string &text, Head &head);
     void poll();
     void headReceived(const Platform::Row &row);
+    /// Applies \a body, or keeps it until the first choice if none is in force yet.
+    void bodyReceived(const std::string &body, Base::Revision announced);
+    /// Takes what peers have sent, if the table can't tell more.
+    void chooseFirst();
+    /// Applies the first manifest if \a row is not an old copy of the table.
+    void verifyHead(const Platform::Row &row, const std::string &body, Base::Revision revision);
+    std::string nextTransaction();
     bool apply(const std::string &body, Base::Revision announced);
     void record(EventLog::EventType type, Base::Revision revision);
-    void writeHead(Platform::ConditionalWrite write, Base::Revision revision, std::string body,
-                   int attempt, const SubmitCallback &callback);
-    void resolveHeadWrite(Platform::ConditionalWrite write, Base::Revision revision,
-                          std::string body, int attempt, const SubmitCallback &callback);
+    void writeHead(const HeadWrite &head);
+    void headWritten(HeadWrite head, const absl::Status &status);
+    /// The row was written meanwhile: goes on if that was only a verification.
+    void retryAfterConflict(HeadWrite head);
+    void reportSubmit(const HeadWrite &head, const absl::Status &status);
 
     const Settings::Runtime m_runtime;
     Platform::Table *m_table = nullptr;
@@ -84,7 +104,15 @@
     Base::Revision m_refusedRevision;
     std::vector<Observer> m_observers;
     Base::TimerId m_pollTimer;
+    Base::TimerId m_firstChoiceTimer;
     std::uint64_t m_lastTransaction = 0;
+
+    // Valid until the first manifest is in force.
+    std::string m_peerBody;        // the highest valid one that a peer has sent
+    Base::Revision m_peerRevision; // of m_peerBody
+    Base::Revision m_announced;    // highest revision that a peer has told of
+    int m_tableFailures = 0;       // reads and verifications that did not tell it
+    int m_choiceAttempts = 0;
 };
 
 } // namespace ManifestService
