Jobs: a replica tells a new use of a key from the old one

Cause: a replica that was sent an outcome again when it joined keeps it for a whole retention from then on, longer than the owner. When the owner had forgotten the key and accepted it again under the same epoch, the replica took the new record for a resent old one, acknowledged it and dropped it.

Change: records carry a serial number that grows with each accepted request, also from owner to owner. A record of a higher serial number replaces what the replica holds; a lower one is ignored.

--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -173,6 +173,7 @@
             return;
         }
         record.epoch = *epoch;
+        record.serial = ++m_lastSerial;
         if (m_incompleteUntil.contains(record.shard.index)) {
             acceptAsFailed(std::move(record), wait, std::move(handler));
             return;
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -169,6 +169,7 @@
     std::unordered_map<Scheduling::TaskHandle, TaskReference>
         m_handles; // tasks the scheduler knows
     std::uint64_t m_lastHandle = 0;
+    std::uint64_t m_lastSerial = 0; // highest of all records seen
     std::uint64_t m_lastWaiter = 0;
     std::size_t m_activeCount = 0;
     std::size_t m_activeLocalCount = 0; // part of m_activeCount
--- a/src/libs/jobs/coordinatorshards.cpp
+++ b/src/libs/jobs/coordinatorshards.cpp
@@ -322,6 +322,7 @@
         auto record = decodeRecord(it, m_context.domain, m_context.timers.now());
         EP_ASSERT(record && record->shard.index == shard, continue);
         record->epoch = epoch;
+        m_lastSerial = std::max(m_lastSerial, record->serial);
         storeReplica(std::move(*record));
     }
     if (message.incompleteMs > 0) {
@@ -341,14 +342,18 @@
     if (known && known->isLocal())
         return;
     EP_ASSERT(!known || !known->isHeldHere() || known->phase == RecordPhase::Decided, return);
-    if (known && known->phase == RecordPhase::Decided) {
+    // The owner may have forgotten an outcome, and accepted its key again, before it expires here.
+    const bool isNewer =
+        known && std::pair(record.epoch, record.serial) > std::pair(known->epoch, known->serial)
+        && record.serial != known->serial;
+    if (known && known->phase == RecordPhase::Decided && !isNewer) {
         // Published outcomes are final; the new owner has the same one.
         known->epoch = std::max(known->epoch, record.epoch);
         return;
     }
-    if (known && known->epoch == record.epoch) {
-        // A resent record must not undo the outcome that followed it.
-        if (known->outcome)
+    if (known && known->epoch == record.epoch && !isNewer) {
+        // A resent record must not undo the outcome, or the later use of the key, that followed it.
+        if (known->outcome || record.serial < known->serial)
             return;
         if (record.outcome && record.payloads.empty()) {
             known->outcome = std::move(record.outcome);
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -23,9 +23,10 @@
     std::string failure;
     std::string message;
     std::vector<std::string> results;
+    std::uint64_t serial = 0;
 
     MSGPACK_DEFINE(team, key, shard, epoch, kind, isSingle, isRepeatable, digest, payloads,
-                   remainingMs, hasOutcome, state, failure, message, results)
+                   remainingMs, hasOutcome, state, failure, message, results, serial)
 };
 
 std::string encodeRecord(const JobRecord &record, Base::Duration remaining, bool withPayloads)
@@ -35,6 +36,7 @@
     encoded.key = record.id.key.value();
     encoded.shard = record.shard.index.value();
     encoded.epoch = record.epoch.value();
+    encoded.serial = record.serial;
     encoded.kind = record.kind.value();
     encoded.isSingle = record.isSingle;
     encoded.isRepeatable = record.isRepeatable;
@@ -69,6 +71,7 @@
     record.id = {Base::TeamId(encoded.team), Base::RequestKey(encoded.key)};
     record.shard = {domain, Base::ShardIndex(encoded.shard)};
     record.epoch = Base::Epoch(encoded.epoch);
+    record.serial = encoded.serial;
     record.kind = Base::KindId(encoded.kind);
     record.isSingle = encoded.isSingle;
     record.isRepeatable = encoded.isRepeatable;
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -53,6 +53,8 @@
     Base::RequestId id;
     Base::ShardId shard; // domain is empty for a request that runs at its entry daemon
     Base::Epoch epoch;   // of the owner that holds or sent the record
+    /// Grows with each accepted request, also over owners: tells uses of one key apart.
+    std::uint64_t serial = 0;
     Base::KindId kind;
     bool isSingle = false;
     bool isRepeatable = false;
