--- a/src/plugins/cluster/clusterview.cpp
+++ b/src/plugins/cluster/clusterview.cpp
@@ -98,7 +98,8 @@
 {
     std::vector<Base::DaemonId> daemons;
     for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
-        if (it.domain == domain && m_port->isConnected(it.daemon))
+        // A link that is cut without notice keeps its connection, which still takes messages.
+        if (it.domain == domain && m_port->isConnected(it.daemon) && isAlive(it.daemon))
             daemons.push_back(it.daemon);
     }
     std::stable_partition(daemons.begin(), daemons.end(), [this](const Base::DaemonId &it) {
--- a/src/plugins/cluster/clusterview.h
+++ b/src/plugins/cluster/clusterview.h
@@ -47,7 +47,7 @@
 
     /// The daemon that claims \a shard under the highest epoch, if any does.
     std::optional<Base::DaemonId> ownerOf(const Base::ShardId &shard) const;
-    /// Daemons of \a domain with a connection, those that are not draining first.
+    /// Daemons of \a domain that are connected and alive, those that are not draining first.
     std::vector<Base::DaemonId> reachableDaemons(const Base::FailureDomainId &domain) const;
     /// Whether a heartbeat of \a daemon has arrived recently.
     bool isAlive(const Base::DaemonId &daemon) const;
