--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -21,6 +21,10 @@
 Coordinator::Coordinator(CoordinatorContext context, CoordinatorLimits limits)
     : m_context(std::move(context))
     , m_limits(limits)
+    , m_stops(m_context.timers, Constants::STOP_BATCH_MS,
+              [this](const Base::UpstreamId &upstream, std::vector<TaskName> tasks) {
+                  m_context.workers.stop(upstream, tasks);
+              })
     , m_replicator(m_context.timers, m_context.peers, m_context.authority,
                    [this](Base::ShardIndex shard) { return incompleteTime(shard); })
     , m_runner(m_context.timers, m_context.workers)
@@ -44,7 +48,6 @@
 {
     *m_isAlive = false;
     m_context.timers.cancel(m_sweepTimer);
-    m_context.timers.cancel(m_stopTimer);
 }
 
 void Coordinator::setManifest(std::shared_ptr<const Manifest::Manifest> manifest)
--- a/src/libs/jobs/coordinator.h
+++ b/src/libs/jobs/coordinator.h
@@ -9,6 +9,7 @@
 #include "request.h"
 #include "shardauthority.h"
 #include "shardrecovery.h"
+#include "stopbatcher.h"
 #include "taskrunner.h"
 #include "workerport.h"
 
@@ -132,8 +133,6 @@
     void publish(JobRecord &record);
     void dropTasks(JobRecord &record);
     void withdrawWaitingTasks(JobRecord &record);
-    void stopLater(const Base::UpstreamId &upstream, TaskName task);
-    void flushStops();
 
     void startRecovery(Base::ShardIndex shard, Base::Epoch epoch);
     void taskReported(Base::ShardIndex shard, Base::Epoch epoch, const Base::UpstreamId &upstream,
@@ -163,6 +162,7 @@
     CoordinatorLimits m_limits;
     std::shared_ptr<const Manifest::Manifest> m_manifest; // null until the first one arrives
     RecordStore m_store;
+    StopBatcher m_stops;
     Replicator m_replicator;
     TaskRunner m_runner;
     Scheduling::RetryBudget m_retryBudget;
@@ -178,8 +178,6 @@
     std::set<Base::ShardId> m_heldShards;
     // Shards with lost records: until then an unknown key may be an old one.
     std::map<Base::ShardIndex, Base::TimePoint> m_incompleteUntil;
-    std::map<Base::UpstreamId, std::vector<TaskName>> m_stops; // flushed by m_stopTimer
-    Base::TimerId m_stopTimer;                                 // 0 when not armed
     Base::TimerId m_sweepTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/libs/jobs/coordinatortasks.cpp
+++ b/src/libs/jobs/coordinatortasks.cpp
@@ -130,6 +130,7 @@
     EP_ASSERT(it != m_handles.end(), return);
     const TaskReference task = it->second;
     m_handles.erase(it);
+    m_stops.taskEnded(taskName(task.request, task.index));
     JobRecord *record = findActive(task.request, task.epoch);
     if (record && record->isUndecided())
         applyTaskEnd(*record, task.index, end);
@@ -244,25 +245,8 @@
     for (std::size_t i = 0; i < record.tasks.size(); ++i) {
         const TaskEntry &task = record.tasks[i];
         if (task.phase == TaskPhase::Started)
-            stopLater(task.upstream, taskName(record.id, i));
+            m_stops.stop(taskName(record.id, i), task.upstream);
     }
 }
 
-void Coordinator::stopLater(const Base::UpstreamId &upstream, TaskName task)
-{
-    m_stops[upstream].push_back(std::move(task));
-    if (m_stopTimer.value() != 0)
-        return;
-    m_stopTimer = m_context.timers.schedule(Constants::STOP_BATCH_MS, [this] {
-        m_stopTimer = {};
-        flushStops();
-    });
-}
-
-void Coordinator::flushStops()
-{
-    for (const auto &[upstream, tasks] : std::exchange(m_stops, {}))
-        m_context.workers.stop(upstream, tasks);
-}
-
 } // namespace Jobs
--- a/src/libs/scheduling/stopbatcher.cpp
+++ b/src/libs/jobs/stopbatcher.cpp
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-namespace Scheduling {
+namespace Jobs {
 
 StopBatcher::StopBatcher(Base::Timers &timers, Base::Duration tick, FlushHandler flush)
     : m_timers(timers)
@@ -17,7 +17,7 @@
         m_timers.cancel(m_timer);
 }
 
-void StopBatcher::stop(TaskHandle task, const Base::UpstreamId &upstream)
+void StopBatcher::stop(const TaskName &task, const Base::UpstreamId &upstream)
 {
     m_pending[task] = upstream;
     if (m_scheduled)
@@ -29,7 +29,7 @@
     });
 }
 
-void StopBatcher::taskFinished(TaskHandle task)
+void StopBatcher::taskEnded(const TaskName &task)
 {
     m_pending.erase(task);
 }
@@ -39,11 +39,11 @@
     if (m_scheduled)
         m_timers.cancel(m_timer);
     m_scheduled = false;
-    std::map<Base::UpstreamId, std::vector<TaskHandle>> batches;
+    std::map<Base::UpstreamId, std::vector<TaskName>> batches;
     for (auto &[task, upstream] : std::exchange(m_pending, {}))
         batches[upstream].push_back(task);
     for (auto &[upstream, tasks] : batches)
         m_flush(upstream, std::move(tasks));
 }
 
-} // namespace Scheduling
+} // namespace Jobs
--- a/src/libs/scheduling/stopbatcher.h
+++ b/src/libs/jobs/stopbatcher.h
@@ -1,29 +1,29 @@
 // Collects stop requests, so that a wave of cancellations costs one message per worker.
 #pragma once
 
-#include "taskscheduler.h"
+#include "workerport.h"
 
 #include <functional>
 #include <map>
 #include <vector>
 
-namespace Scheduling {
+namespace Jobs {
 
 /// The first stop starts a tick; at its end, the stops of each upstream are sent together.
 class StopBatcher
 {
 public:
     using FlushHandler =
-        std::function<void(const Base::UpstreamId &upstream, std::vector<TaskHandle> tasks)>;
+        std::function<void(const Base::UpstreamId &upstream, std::vector<TaskName> tasks)>;
 
     StopBatcher(Base::Timers &timers, Base::Duration tick, FlushHandler flush);
     ~StopBatcher();
     StopBatcher(const StopBatcher &) = delete;
     StopBatcher &operator=(const StopBatcher &) = delete;
 
-    void stop(TaskHandle task, const Base::UpstreamId &upstream);
+    void stop(const TaskName &task, const Base::UpstreamId &upstream);
     /// Drops a pending stop, as the task has ended by itself.
-    void taskFinished(TaskHandle task);
+    void taskEnded(const TaskName &task);
     /// Sends all pending stops now, for example before the daemon exits.
     void flush();
 
@@ -33,7 +33,7 @@
     const FlushHandler m_flush;
     Base::TimerId m_timer;
     bool m_scheduled = false;
-    std::map<TaskHandle, Base::UpstreamId> m_pending;
+    std::map<TaskName, Base::UpstreamId> m_pending;
 };
 
-} // namespace Scheduling
+} // namespace Jobs
--- a/src/plugins/jobservice/jobservice.cpp
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -190,16 +190,15 @@
 void JobServiceImpl::shardAcquired(Base::ShardIndex shard, Base::Epoch epoch,
                                    bool completeKnowledge)
 {
-    Base::log(completeKnowledge ? Base::LogLevel::Info : Base::LogLevel::Error, "shardAcquired",
-              {{"shard", shard}, {"epoch", epoch}, {"completeKnowledge", completeKnowledge}});
     recordLease(EventLog::EventType::LeaseGained, shard, epoch);
+    if (!completeKnowledge)
+        Base::log(Base::LogLevel::Error, "recordsLost", {{"shard", shard}, {"epoch", epoch}});
     m_coordinator->shardAcquired(shard, epoch, completeKnowledge);
     m_cluster->announceSoon();
 }
 
 void JobServiceImpl::shardLost(Base::ShardIndex shard)
 {
-    Base::log(Base::LogLevel::Warning, "shardLost", {{"shard", shard}});
     recordLease(EventLog::EventType::LeaseLost, shard, {});
     m_coordinator->shardLost(shard);
 }
--- a/tests/auto/jobs/tst_jobs.cpp
+++ b/tests/auto/jobs/tst_jobs.cpp
@@ -2,6 +2,7 @@
 #include "jobcluster.h"
 
 #include <base/log.h>
+#include <jobs/stopbatcher.h>
 
 using namespace JobsTest;
 
@@ -434,3 +435,26 @@
     f.run(10s);
     BOOST_TEST(Jobs::requestStateName(answer.view.state) != "notRun");
 }
+
+// Guards against a cancellation wave that costs a message per task.
+BOOST_AUTO_TEST_CASE(stopsAreBatchedPerUpstream)
+{
+    TestSupport::ManualTimers timers;
+    std::map<std::string, std::vector<std::size_t>> batches;
+    Jobs::StopBatcher batcher(timers, 5ms,
+                              [&](const Base::UpstreamId &upstream, const auto &tasks) {
+                                  batches[upstream.value()].push_back(tasks.size());
+                              });
+    for (std::uint64_t i = 0; i < 100; ++i)
+        batcher.stop(Jobs::TaskName("t" + std::to_string(i)),
+                     Base::UpstreamId(i % 2 ? "u1" : "u0"));
+    batcher.taskEnded(Jobs::TaskName("t0"));
+    timers.advance(20ms);
+    BOOST_TEST(batches["u0"] == std::vector<std::size_t>{49}, boost::test_tools::per_element());
+    BOOST_TEST(batches["u1"] == std::vector<std::size_t>{50}, boost::test_tools::per_element());
+    BOOST_TEST(timers.isEmpty());
+    batcher.stop(Jobs::TaskName("t1"), Base::UpstreamId("u2"));
+    batcher.flush();
+    BOOST_TEST(batches["u2"].size() == 1);
+    BOOST_TEST(timers.isEmpty());
+}
--- a/tests/auto/scheduling/tst_schedulingparts.cpp
+++ b/tests/auto/scheduling/tst_schedulingparts.cpp
@@ -2,7 +2,6 @@
 #include "schedulerfixture.h"
 
 #include <scheduling/retrybudget.h>
-#include <scheduling/stopbatcher.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -134,27 +133,6 @@
     BOOST_TEST(retries() == 5);
 }
 
-// Guards against a cancellation wave that costs a message per task.
-BOOST_AUTO_TEST_CASE(stopsAreBatchedPerUpstream)
-{
-    ManualTimers timers;
-    std::map<std::string, std::vector<std::size_t>> batches;
-    StopBatcher batcher(timers, 5ms, [&](const Base::UpstreamId &upstream, const auto &tasks) {
-        batches[upstream.value()].push_back(tasks.size());
-    });
-    for (std::uint64_t i = 0; i < 100; ++i)
-        batcher.stop(TaskHandle(i), Base::UpstreamId(i % 2 ? "u1" : "u0"));
-    batcher.taskFinished(TaskHandle(0));
-    timers.advance(20ms);
-    BOOST_TEST(batches["u0"] == std::vector<std::size_t>{49}, boost::test_tools::per_element());
-    BOOST_TEST(batches["u1"] == std::vector<std::size_t>{50}, boost::test_tools::per_element());
-    BOOST_TEST(timers.isEmpty());
-    batcher.stop(TaskHandle(1), Base::UpstreamId("u2"));
-    batcher.flush();
-    BOOST_TEST(batches["u2"].size() == 1);
-    BOOST_TEST(timers.isEmpty());
-}
-
 // Guards against a speed that one stalled task changes, or that follows a lasting change too late.
 BOOST_AUTO_TEST_CASE(speedFollowsResults)
 {
