Jobs: pass the batch of stops by reference

Cause: the linter reports a copy of the batch in the flush handler. Change: a const reference. Ruled out: moving it on (the port takes a const reference). Figures: 1 finding before, 0 after. Conclusion: lint is clean.

--- a/src/libs/jobs/coordinator.cpp
+++ b/src/libs/jobs/coordinator.cpp
@@ -22,7 +22,7 @@
     : m_context(std::move(context))
     , m_limits(limits)
     , m_stops(m_context.timers, Constants::STOP_BATCH_MS,
-              [this](const Base::UpstreamId &upstream, std::vector<TaskName> tasks) {
+              [this](const Base::UpstreamId &upstream, const std::vector<TaskName> &tasks) {
                   m_context.workers.stop(upstream, tasks);
               })
     , m_replicator(m_context.timers, m_context.peers, m_context.authority,
