Tests: the drain case waits until the restarted daemon is ready

Cause: in one of four runs of tst_system, the case drainEachDaemonUnderLoad sent the next load to the daemon that it had just restarted before that listened ("Couldn't connect to server"). The shards of its domain can be replicated again without it, which was all that the case waited for.

Change: the case waits for GET /v1/ready of the restarted daemon, as the balancer does.

Ruled out: a fault of the drain (the failing request went to the daemon of the previous iteration, which was not draining).

Conclusion: the verdict no longer depends on how fast a daemon starts.

--- a/tests/system/tst_system.cpp
+++ b/tests/system/tst_system.cpp
@@ -193,6 +193,13 @@
         }
         deployment.startDaemon(i);
         waitForHeal(deployment);
+        // The balancer sends no callers to a daemon that is not ready.
+        BOOST_TEST(deployment.waitUntil(
+            [&] {
+                return deployment.call("GET", deployment.callers(i) + "/v1/ready", "").httpStatus
+                       == 200;
+            },
+            RECOVERY_LIMIT_MS));
     }
     checkAudit(deployment, "drain");
 }
