--- a/src/app/endivepathd/daemon.cpp
+++ b/src/app/endivepathd/daemon.cpp
@@ -1,6 +1,8 @@
 // Services of the daemon and their order.
 #include "daemon.h"
 
+#include "incarnation.h"
+
 #include <base/failure.h>
 #include <base/log.h>
 #include <callergateway/callergateway.h>
@@ -22,14 +24,6 @@
 
 namespace Daemon {
 
-/// Hosts keep nothing, so the wall clock tells a restarted daemon from its earlier runs.
-static Base::Incarnation makeIncarnation()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return Base::Incarnation(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
-}
-
 DaemonProcess::DaemonProcess(Settings::DaemonSettings settings)
     : m_settings(std::move(settings))
     , m_runtime{m_io, m_timers, m_settings, makeIncarnation()}
--- a/src/app/endivepathd/main.cpp
+++ b/src/app/endivepathd/main.cpp
@@ -1,9 +1,11 @@
 // Command line of the daemon.
 #include "daemon.h"
+#include "platformdaemon.h"
 
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -41,10 +43,36 @@
     return EXIT_OK;
 }
 
+/// Names the settings file on the users' platform.
+static constexpr char SETTINGS_VARIABLE[] = "ENDIVEPATH_SETTINGS";
+
+static int runOnPlatform(std::string path, bool isCheckOnly)
+{
+    if (path.empty()) {
+        const char *variable = std::getenv(SETTINGS_VARIABLE);
+        path = variable ? variable : "/etc/endivepath/settings.toml";
+    }
+    auto settings = Daemon::readPlatformSettings(path);
+    if (!settings)
+        return EXIT_USAGE;
+    if (isCheckOnly)
+        return EXIT_OK;
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon::PlatformDaemon daemon(std::move(*settings), path);
+    const absl::Status status = daemon.run();
+    if (!status.ok()) {
+        std::cerr << "endivepathd: " << status.message() << '\n';
+        return EXIT_START_FAILED;
+    }
+    return EXIT_OK;
+}
+
 int main(int argc, char **argv)
 {
     cxxopts::Options options("endivepathd", "Dispatcher for sub-second tasks");
     options.add_options()("settings", "Settings file", cxxopts::value<std::string>());
+    options.add_options()("platform", "Run on the users' platform; the settings file is by default "
+                                      "the one that ENDIVEPATH_SETTINGS names");
     options.add_options()("check", "Check the settings file and exit");
     options.add_options()("h,help", "Print this text");
     try {
@@ -53,6 +81,11 @@
             std::cout << options.help();
             return EXIT_OK;
         }
+        if (arguments.count("platform") > 0) {
+            const bool hasPath = arguments.count("settings") > 0;
+            return runOnPlatform(hasPath ? arguments["settings"].as<std::string>() : std::string(),
+                                 arguments.count("check") > 0);
+        }
         if (arguments.count("settings") == 0) {
             std::cerr << "endivepathd: --settings FILE is needed; see --help\n";
             return EXIT_USAGE;
--- /dev/null
+++ b/src/app/endivepathd/platformdaemon.h
@@ -0,0 +1,47 @@
+// One endivepathd on the users' platform: its loop, its services and its shutdown.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <base/asiotimers.h>
+#include <http/client.h>
+#include <kernel/serviceregistry.h>
+#include <dispatch/executorport.h>
+#include <platform/platformsettings.h>
+#include <settings/runtime.h>
+
+namespace Daemon {
+
+/// Wires the services together and runs them until a signal ends the daemon.
+class PlatformDaemon
+{
+public:
+    /// \a settingsPath is read again, and checked, when the platform says that it has changed.
+    PlatformDaemon(Platform::PlatformSettings settings, std::string settingsPath);
+
+    /// Runs until drained after SIGTERM or SIGINT. A second signal ends it at once.
+    absl::Status run();
+
+private:
+    void addServices();
+    void awaitSignal();
+    void beginDrain();
+    void reload();
+
+    const Platform::PlatformSettings m_settings;
+    const std::string m_settingsPath;
+    asio::io_context m_io{1};
+    Base::AsioTimers m_timers{m_io};
+    asio::signal_set m_signals{m_io, SIGINT, SIGTERM, SIGHUP};
+    const Settings::Runtime m_runtime;
+    Http::Client m_executorHttp;
+    Http::Client m_storeHttp;
+    std::unique_ptr<Dispatch::ExecutorPort> m_executors;
+    Kernel::ServiceRegistry m_registry;
+    bool m_isDraining = false;
+};
+
+/// Reads and checks the settings at \a path; prints the faults to standard error.
+std::optional<Platform::PlatformSettings> readPlatformSettings(const std::string &path);
+
+} // namespace Daemon
--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -25,6 +25,7 @@
 {
     std::mutex mutex;
     LogLevel level = LogLevel::Info;
+    std::FILE *stream = stderr;
     std::string context;
     std::map<std::string, RepeatLimit, std::less<>> limits;
 };
@@ -126,6 +127,12 @@
     return false;
 }
 
+void setLogStream(LogStream stream)
+{
+    const std::lock_guard lock(state().mutex);
+    state().stream = stream == LogStream::StandardOutput ? stdout : stderr;
+}
+
 void setLogContext(std::string_view name, std::string_view value)
 {
     const std::lock_guard lock(state().mutex);
@@ -151,7 +158,8 @@
     if (dropped > 0)
         appendField(line, "droppedLines", std::to_string(dropped));
     line += '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), s.stream);
+    std::fflush(s.stream);
 }
 
 } // namespace Base
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -58,6 +58,10 @@
 /// Parses "debug", "info", "warning" or "error"; returns false for anything else.
 bool parseLogLevel(std::string_view name, LogLevel &level);
 
+/// Where lines go; standard error unless changed.
+enum class LogStream { StandardError, StandardOutput };
+void setLogStream(LogStream stream);
+
 /// Adds a field, such as the daemon id, to every later line.
 void setLogContext(std::string_view name, std::string_view value);
 
--- /dev/null
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -0,0 +1,71 @@
+// Timing and limits of the dispatch library. Bounds named here come from the platform's contract.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace Dispatch::Constants {
+
+using std::chrono::milliseconds;
+
+/// How long a lease on an executor lasts; the executors shorten longer ones to this.
+constexpr milliseconds LEASE_MS{1000};
+/// An executor's clock may be 2 % slow, so a lease may last this much longer here.
+constexpr milliseconds LEASE_SLACK_MS{40};
+/// Long enough to cost few messages, short enough to leave time for a second try within a lease.
+constexpr milliseconds HOLD_WAIT_MS{300};
+/// Pause between tries to reach an executor that does not answer.
+constexpr milliseconds LOOK_RETRY_MS{100};
+/// Runs that no daemon claims after a takeover are stopped after this; coordinators claim theirs
+/// within a heartbeat and a message.
+constexpr milliseconds CLAIM_WINDOW_MS{400};
+/// An executor that refuses orders as unhealthy or without room is left alone for this long.
+constexpr milliseconds BACK_OFF_MS{300};
+/// Ends are remembered for coordinators that ask again after a lost connection.
+constexpr milliseconds END_MEMORY_MS{15000};
+/// Added to the run number after a refusal as old: an earlier owner may have used more runs.
+constexpr std::uint64_t RUN_NUMBER_STEP = 8;
+/// Period of lease, straggler and time-out checks.
+constexpr milliseconds TICK_MS{50};
+/// Least time between two load reports of a group.
+constexpr milliseconds LOAD_REPORT_MS{25};
+/// A load report is repeated after this even if nothing has changed.
+constexpr milliseconds LOAD_REPEAT_MS{1000};
+
+/// A run is given up when it exceeds its estimate by this factor, at the executor's speed. Estimates
+/// are off by a factor of e^0.4 at one standard deviation; 4 is beyond three of them.
+constexpr double STRAGGLER_FACTOR = 4;
+constexpr milliseconds STRAGGLER_MIN_MS{250};
+
+/// Consecutive failed runs after which an executor is ejected.
+constexpr int EJECT_FAILURES = 3;
+constexpr milliseconds EJECT_MS{2000};
+
+/// Period of state messages between daemons.
+constexpr milliseconds HEARTBEAT_MS{100};
+/// A peer that is silent for this long counts as lost: four heartbeats and a margin.
+constexpr milliseconds PEER_SILENCE_MS{500};
+/// The same for a peer whose connection broke.
+constexpr milliseconds BROKEN_PEER_SILENCE_MS{200};
+/// A claim that nobody has confirmed for this long has lapsed.
+constexpr milliseconds CLAIM_LIFETIME_MS{700};
+/// A daemon that has just started first learns the claims of others.
+constexpr milliseconds CLAIM_START_DELAY_MS{350};
+/// Two checks further apart than this mean that the process was paused: four periods.
+constexpr milliseconds PAUSE_MS{200};
+/// Each further candidate waits this much longer before it claims.
+constexpr milliseconds CLAIM_RANK_DELAY_MS{300};
+/// A daemon of the group's own domain takes the group back after it has been up for this long.
+constexpr milliseconds HOME_CLAIM_DELAY_MS{1500};
+/// Added to the round after a refusal by an executor whose higher token nobody claims.
+constexpr std::uint64_t ROUND_STEP = 1000;
+/// Low bits of a token that tell daemons apart.
+constexpr int TOKEN_DAEMON_BITS = 20;
+
+/// Late results are worth something until this multiple of the objective.
+constexpr double LATE_FACTOR = 3;
+/// Bounds of what one job may ask for.
+constexpr std::uint32_t MAX_STEPS = 256;
+constexpr std::uint32_t MAX_TASKS_PER_JOB = 4000;
+
+} // namespace Dispatch::Constants
--- /dev/null
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -0,0 +1,903 @@
+// Submission, placement, orders and listings of a group.
+#include "executorgroup.h"
+
+#include "dispatchconstants.h"
+
+#include <base/log.h>
+#include <base/softassert.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Dispatch {
+
+using Base::LogLevel;
+using Wire::TaskReportState;
+
+/// Queued tasks looked at for each placement; bounds its cost when thousands wait.
+static constexpr std::size_t MAX_PLACEMENT_SCAN = 256;
+/// Weight of the newest run in the bias of the estimates of one priority.
+static constexpr double BIAS_NEWEST_WEIGHT = 0.02;
+/// Speeds that differ by less count as equal, and the fuller executor is taken.
+static constexpr double SPEED_TOLERANCE = 1.1;
+/// Speed outside of the preferred rack, relative to that inside; the data is fetched from there.
+static constexpr double OTHER_RACK_SPEED = 0.5;
+
+ExecutorGroup::ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers,
+                             ExecutorPort &port, GroupListener &listener)
+    : m_group(std::move(group))
+    , m_token(token)
+    , m_timers(timers)
+    , m_port(port)
+    , m_listener(listener)
+    , m_claimed(timers.now())
+{}
+
+ExecutorGroup::~ExecutorGroup()
+{
+    *m_isAlive = false;
+}
+
+ExecutorLedger *ExecutorGroup::ledger(const ExecutorId &id)
+{
+    const auto it = m_ledgers.find(id);
+    return it == m_ledgers.end() ? nullptr : &it->second;
+}
+
+std::size_t ExecutorGroup::runCount() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, executor] : m_ledgers)
+        n += executor.runs().size();
+    return n;
+}
+
+void ExecutorGroup::setExecutors(const std::vector<ExecutorInfo> &executors)
+{
+    for (auto &[id, executor] : m_ledgers)
+        executor.isRegistered = false;
+    for (const ExecutorInfo &it : executors) {
+        ExecutorLedger *known = ledger(it.id);
+        if (!known) {
+            known = &m_ledgers.emplace(it.id, ExecutorLedger(it)).first->second;
+        } else {
+            if (it.lifetime > known->lifetime())
+                lifetimeEnded(*known, it.lifetime);
+            known->setInfo(it);
+        }
+        known->isRegistered = true;
+        if (!known->isLooked && !known->isLookPending)
+            hold(*known, true);
+    }
+    std::erase_if(m_ledgers, [](const auto &it) {
+        return !it.second.isRegistered && it.second.runs().empty();
+    });
+    changed();
+    placeQueued();
+}
+
+void ExecutorGroup::submit(const Base::DaemonId &from, const Wire::TaskBatch &batch)
+{
+    m_batchesSeen[from] = std::max(m_batchesSeen[from], batch.sequence);
+    auto order = std::make_shared<Order>();
+    order->batch = batch;
+    order->batch.tasks.clear();
+    order->shape = {batch.cpuMillis, batch.memoryMb, batch.gpus};
+    const Base::TimePoint now = m_timers.now();
+    order->estimate = std::chrono::milliseconds(std::max<std::uint64_t>(1, batch.estimateMs));
+    order->objective = now + std::chrono::milliseconds(batch.objectiveMs);
+    order->deadline = now + std::chrono::milliseconds(batch.deadlineMs);
+    for (const Wire::BatchTask &it : batch.tasks)
+        submitTask(from, order, it);
+    changed();
+    placeQueued();
+}
+
+void ExecutorGroup::submitTask(const Base::DaemonId &from,
+                               const std::shared_ptr<const Order> &order,
+                               const Wire::BatchTask &entry)
+{
+    const TaskId id{JobId(order->batch.job), order->batch.occurrence, order->batch.step,
+                    entry.index};
+    const auto ended = m_ended.find(id);
+    std::uint64_t nextRun = entry.minRun;
+    if (ended != m_ended.end()) {
+        const bool isKnownResult =
+            ended->second.end == RunEnd::Done || ended->second.end == RunEnd::Failed;
+        if (isKnownResult && ended->second.run.value() >= entry.minRun) {
+            report(from, id, ended->second.run,
+                   ended->second.end == RunEnd::Done ? TaskReportState::Done
+                                                     : TaskReportState::Failed,
+                   {});
+            return;
+        }
+        nextRun = std::max(nextRun, ended->second.run.value() + 1);
+    }
+    if (attachTask(from, order, id, entry.minRun))
+        return;
+    Task task;
+    task.coordinator = from;
+    task.order = order;
+    task.nextRun = nextRun;
+    if (claimFoundRun(id, task))
+        return;
+    Task &added = m_tasks.emplace(id, std::move(task)).first->second;
+    if (entry.mayHaveStarted && !areAllLooked()) {
+        added.state = TaskState::AwaitingLook;
+        m_awaitingLook.insert(id);
+        return;
+    }
+    enqueue(id, added);
+}
+
+bool ExecutorGroup::attachTask(const Base::DaemonId &from,
+                               const std::shared_ptr<const Order> &order, const TaskId &id,
+                               std::uint64_t minRun)
+{
+    const auto it = m_tasks.find(id);
+    if (it == m_tasks.end())
+        return false;
+    Task &task = it->second;
+    if (task.coordinator != from) {
+        Base::log(LogLevel::Info, "taskReattached",
+                  {{"task", toString(id)}, {"from", task.coordinator}, {"to", from}});
+        task.coordinator = from;
+    }
+    task.order = order;
+    task.nextRun = std::max(task.nextRun, minRun);
+    if (task.state != TaskState::OnExecutor) {
+        task.isCancelled = false;
+        return true;
+    }
+    const ExecutorLedger *executor = ledger(task.executor);
+    EP_ASSERT(executor, return true);
+    const auto run = executor->runs().find(id);
+    EP_ASSERT(run != executor->runs().end(), return true);
+    if (run->second.state == RunState::Running)
+        report(from, id, run->second.number, TaskReportState::Started, task.executor);
+    // A run that is being stopped ends as lost, and the coordinator then asks for a new one.
+    return true;
+}
+
+bool ExecutorGroup::claimFoundRun(const TaskId &id, const Task &task)
+{
+    for (auto &[executorId, executor] : m_ledgers) {
+        Run *run = executor.find(id);
+        if (!run)
+            continue;
+        EP_ASSERT(!run->isClaimed, return false);
+        run->isClaimed = true;
+        run->shape = task.order->shape;
+        Task &added = m_tasks.emplace(id, task).first->second;
+        added.state = TaskState::OnExecutor;
+        added.executor = executorId;
+        added.wasStarted = true;
+        added.nextRun = std::max(added.nextRun, run->number.value() + 1);
+        report(task.coordinator, id, run->number, TaskReportState::Started, executorId);
+        return true;
+    }
+    return false;
+}
+
+void ExecutorGroup::enqueue(const TaskId &id, Task &task)
+{
+    task.state = TaskState::Queued;
+    task.executor = {};
+    task.queuedAt = m_timers.now();
+    const Order &order = *task.order;
+    m_queue.add({id, ServiceId(order.batch.service), order.batch.priority, order.objective,
+                 order.shape, order.estimate},
+                task.queuedAt);
+    changed();
+}
+
+void ExecutorGroup::placeQueued()
+{
+    if (m_isFenced || m_queue.isEmpty())
+        return;
+    // Shapes that found no room; a task that needs at least as much finds none either.
+    std::vector<std::pair<ServiceId, Resources>> tooBig;
+    for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
+        const bool isTooBig =
+            std::any_of(tooBig.begin(), tooBig.end(), [&it](const auto &entry) {
+                return entry.first == it.service && entry.second.fits(it.shape);
+            });
+        if (isTooBig)
+            continue;
+        const auto task = m_tasks.find(it.task);
+        EP_ASSERT(task != m_tasks.end(), continue);
+        ExecutorLedger *executor = chooseExecutor(it.task, *task->second.order);
+        if (!executor) {
+            const Wire::TaskBatch &batch = task->second.order->batch;
+            if (batch.requiredLabel.empty() && batch.maxPerExecutor == 0)
+                tooBig.emplace_back(it.service, it.shape);
+            continue;
+        }
+        m_queue.remove(it.task);
+        start(*executor, it.task, task->second);
+        if (m_isFenced)
+            return;
+    }
+}
+
+ExecutorLedger *ExecutorGroup::chooseExecutor(const TaskId &id, const Order &order)
+{
+    const Base::TimePoint now = m_timers.now();
+    ExecutorLedger *best = nullptr;
+    double bestSpeed = 0;
+    std::uint32_t bestRest = 0;
+    for (auto &[executorId, executor] : m_ledgers) {
+        const ExecutorInfo &info = executor.info();
+        if (!executor.isUsable(now) || info.service.value() != order.batch.service)
+            continue;
+        if (!order.batch.requiredLabel.empty() && info.kind != order.batch.requiredLabel)
+            continue;
+        const Resources room = executor.freeRoom();
+        if (!order.shape.fits(room))
+            continue;
+        if (order.batch.maxPerExecutor > 0
+            && executor.runsOfStep(id) >= order.batch.maxPerExecutor) {
+            continue;
+        }
+        double speed = executor.speed();
+        if (!order.batch.rack.empty() && info.rack != order.batch.rack)
+            speed *= OTHER_RACK_SPEED;
+        const std::uint32_t rest = room.cpuMillis - order.shape.cpuMillis;
+        const bool isFaster = speed > bestSpeed * SPEED_TOLERANCE;
+        const bool isFuller = speed * SPEED_TOLERANCE >= bestSpeed && rest < bestRest;
+        if (!best || isFaster || isFuller) {
+            best = &executor;
+            bestSpeed = speed;
+            bestRest = rest;
+        }
+    }
+    return best;
+}
+
+double ExecutorGroup::estimateLogMs(const Order &order) const
+{
+    const auto it = m_estimateBias.find(order.batch.priority);
+    const double bias = it == m_estimateBias.end() ? 0 : it->second;
+    return std::log(std::chrono::duration<double, std::milli>(order.estimate).count()) + bias;
+}
+
+void ExecutorGroup::start(ExecutorLedger &executor, const TaskId &id, Task &task)
+{
+    const Base::TimePoint now = m_timers.now();
+    const RunNumber number(task.nextRun++);
+    task.state = TaskState::OnExecutor;
+    task.executor = executor.info().id;
+    task.wasStarted = true;
+    Run run;
+    run.number = number;
+    run.shape = task.order->shape;
+    run.since = now;
+    const double expectedMs = std::exp(estimateLogMs(*task.order)) / executor.speed();
+    run.expected = std::chrono::microseconds(static_cast<std::int64_t>(expectedMs * 1000));
+    run.visibleFrom = UINT64_MAX;
+    executor.runs().emplace(id, run);
+    ++m_counters.starts;
+    StartOrder order;
+    order.task = id;
+    order.run = number;
+    order.payload = task.order->batch.payload;
+    order.leaseEnd = executor.nextLeaseEnd(now);
+    order.token = m_token;
+    executor.leaseSent(now);
+    m_port.startTask(executor.info(), order,
+                     [this, alive = m_isAlive, executorId = executor.info().id, id,
+                      number](const OrderResult &result) {
+                         if (*alive)
+                             startAnswered(executorId, id, number, result);
+                     });
+}
+
+void ExecutorGroup::startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber number,
+                                  const OrderResult &result)
+{
+    ExecutorLedger *executor = ledger(executorId);
+    if (!executor)
+        return;
+    const Base::TimePoint now = m_timers.now();
+    if (result.clock)
+        executor->clockSeen(*result.clock, now);
+    Run *run = executor->find(id);
+    if (!run || run->number != number)
+        return; // its end was listed before the answer arrived
+    if (result.outcome == OrderOutcome::Accepted) {
+        run->visibleFrom = m_lastHold + 1;
+        if (run->state == RunState::Starting || run->state == RunState::Unresolved) {
+            run->state = RunState::Running;
+            run->since = now;
+        }
+        const auto task = m_tasks.find(id);
+        if (task != m_tasks.end()) {
+            report(task->second.coordinator, id, number, TaskReportState::Started, executorId);
+            if (task->second.isCancelled)
+                stopRun(*executor, id, *run);
+        }
+        if (!executor->isHoldPending)
+            hold(*executor, false);
+        flushReports();
+        return;
+    }
+    if (result.outcome == OrderOutcome::Unknown) {
+        ++m_counters.unresolvedStarts;
+        Base::log(LogLevel::Warning, "startUnresolved",
+                  {{"task", toString(id)}, {"run", number}, {"executor", executorId}});
+        if (run->state == RunState::Starting)
+            run->state = RunState::Unresolved;
+        run->visibleFrom = m_lastHold + 1;
+        hold(*executor, true);
+        return;
+    }
+    Base::log(LogLevel::Info, "startRefused",
+              {{"task", toString(id)},
+               {"run", number},
+               {"executor", executorId},
+               {"outcome", static_cast<int>(result.outcome)},
+               {"reason", static_cast<int>(result.refusal)}});
+    executor->runs().erase(id);
+    changed();
+    if (result.refusal == RefusalReason::Fenced) {
+        m_isFenced = true;
+        m_listener.groupFenced(m_group);
+        return;
+    }
+    if (result.outcome == OrderOutcome::OtherLifetime)
+        lifetimeEnded(*executor, Lifetime());
+    if (result.outcome == OrderOutcome::NotSent) {
+        ++executor->missedAnswers;
+        executor->nextTry = now;
+    }
+    if (result.outcome == OrderOutcome::Unhealthy || result.refusal == RefusalReason::NoRoom
+        || result.refusal == RefusalReason::Other) {
+        executor->backOff(now + Constants::BACK_OFF_MS);
+    }
+    const auto task = m_tasks.find(id);
+    if (result.refusal == RefusalReason::OldRun && task != m_tasks.end())
+        task->second.nextRun += Constants::RUN_NUMBER_STEP;
+    requeue(id, false);
+    placeQueued();
+}
+
+/// The task has no run any more. \a isNewRun: the run that ended may have been started, so the
+/// coordinator decides whether there is another one.
+void ExecutorGroup::requeue(const TaskId &id, bool isNewRun)
+{
+    const auto it = m_tasks.find(id);
+    if (it == m_tasks.end())
+        return;
+    Task &task = it->second;
+    if (task.isCancelled) {
+        finishTask(id, RunNumber(task.nextRun - 1), TaskReportState::Lost, task.executor);
+        return;
+    }
+    if (isNewRun) {
+        finishTask(id, RunNumber(task.nextRun - 1), TaskReportState::Lost, task.executor);
+        return;
+    }
+    enqueue(id, task);
+}
+
+void ExecutorGroup::stopRun(ExecutorLedger &executor, const TaskId &id, Run &run)
+{
+    const Base::TimePoint now = m_timers.now();
+    run.state = RunState::Stopping;
+    run.isStopAccepted = false;
+    run.stopSent = now;
+    const ExecutorId executorId = executor.info().id;
+    m_port.stopTask(executor.info(), {id, run.number, m_token},
+                    [this, alive = m_isAlive, executorId, id,
+                     number = run.number](const OrderResult &result) {
+                        if (*alive)
+                            stopAnswered(executorId, id, number, result);
+                    });
+}
+
+void ExecutorGroup::stopAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber number,
+                                 const OrderResult &result)
+{
+    ExecutorLedger *executor = ledger(executorId);
+    Run *run = executor ? executor->find(id) : nullptr;
+    if (!run || run->number != number)
+        return;
+    if (result.clock)
+        executor->clockSeen(*result.clock, m_timers.now());
+    if (result.outcome == OrderOutcome::Accepted) {
+        run->isStopAccepted = true;
+        // From now on a listing without the run proves that it is over or was never there.
+        run->visibleFrom = m_lastHold + 1;
+        if (!executor->isHoldPending)
+            hold(*executor, false);
+        return;
+    }
+    if (result.refusal == RefusalReason::Fenced) {
+        m_isFenced = true;
+        m_listener.groupFenced(m_group);
+    } else if (result.outcome == OrderOutcome::OtherLifetime) {
+        lifetimeEnded(*executor, Lifetime());
+    }
+    // Otherwise the stop is repeated by checkRuns().
+}
+
+void ExecutorGroup::hold(ExecutorLedger &executor, bool isLook)
+{
+    if (m_isFenced)
+        return;
+    const Base::TimePoint now = m_timers.now();
+    HoldOrder order;
+    order.token = m_token;
+    order.seenUpTo = executor.seenUpTo;
+    // Found runs are kept alive too, until their coordinators have had time to claim them.
+    if (!executor.runs().empty()) {
+        order.leaseEnd = executor.nextLeaseEnd(now);
+        executor.leaseSent(now);
+        if (!isLook)
+            order.wait = Constants::HOLD_WAIT_MS;
+    }
+    (isLook ? executor.isLookPending : executor.isHoldPending) = true;
+    executor.hasUnacknowledgedEnds = false;
+    const std::uint64_t sequence = ++m_lastHold;
+    m_port.hold(executor.info(), order,
+                [this, alive = m_isAlive, executorId = executor.info().id, isLook, sequence,
+                 lifetime = executor.lifetime()](const HoldResult &result) {
+                    if (*alive)
+                        holdAnswered(executorId, isLook, sequence, lifetime, result);
+                });
+}
+
+void ExecutorGroup::holdAnswered(const ExecutorId &executorId, bool isLook, std::uint64_t sequence,
+                                 Lifetime lifetime, const HoldResult &result)
+{
+    ExecutorLedger *executor = ledger(executorId);
+    if (!executor)
+        return;
+    (isLook ? executor->isLookPending : executor->isHoldPending) = false;
+    const Base::TimePoint now = m_timers.now();
+    if (lifetime != executor->lifetime())
+        return; // sent to an earlier lifetime; tick() looks at the new one
+    switch (result.order.outcome) {
+    case OrderOutcome::Accepted:
+        break;
+    case OrderOutcome::Refused:
+        if (result.order.refusal == RefusalReason::Fenced) {
+            m_isFenced = true;
+            m_listener.groupFenced(m_group);
+            return;
+        }
+        [[fallthrough]];
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::NotSent:
+    case OrderOutcome::Unknown:
+        if (++executor->missedAnswers == 1) {
+            Base::log(LogLevel::Warning, "executorSilent",
+                      {{"executor", executorId},
+                       {"outcome", static_cast<int>(result.order.outcome)},
+                       {"runs", executor->runs().size()}});
+        }
+        executor->nextTry = now + Constants::LOOK_RETRY_MS;
+        changed();
+        return;
+    case OrderOutcome::OtherLifetime:
+        lifetimeEnded(*executor, result.lifetime);
+        return;
+    }
+    if (executor->missedAnswers > 0 && executor->isLooked)
+        Base::log(LogLevel::Info, "executorBack", {{"executor", executorId}});
+    executor->missedAnswers = 0;
+    if (result.lifetime.value() > 0 && executor->lifetime().value() > 0
+        && result.lifetime != executor->lifetime()) {
+        lifetimeEnded(*executor, result.lifetime);
+        return;
+    }
+    if (executor->lifetime().value() == 0)
+        executor->setLifetime(result.lifetime);
+    if (result.order.clock)
+        executor->clockSeen(*result.order.clock, now);
+    listingReceived(*executor, sequence, result);
+    releaseAwaitingLook();
+    placeQueued();
+    flushReports();
+    followExecutor(*executor);
+}
+
+void ExecutorGroup::listingReceived(ExecutorLedger &executor, std::uint64_t sequence,
+                                    const HoldResult &result)
+{
+    const Base::TimePoint now = m_timers.now();
+    for (const ListedEnd &it : result.ended) {
+        if (it.sequence <= executor.seenUpTo)
+            continue;
+        endReceived(executor, it);
+        executor.seenUpTo = it.sequence;
+        executor.hasUnacknowledgedEnds = true;
+    }
+    std::set<TaskId> listed;
+    for (const ListedRun &it : result.running) {
+        listed.insert(it.task);
+        Run *run = executor.find(it.task);
+        if (run && run->number == it.run) {
+            if (run->state == RunState::Starting || run->state == RunState::Unresolved) {
+                const auto task = m_tasks.find(it.task);
+                run->state = RunState::Running;
+                run->visibleFrom = std::min(run->visibleFrom, m_lastHold + 1);
+                if (task != m_tasks.end())
+                    report(task->second.coordinator, it.task, run->number,
+                           TaskReportState::Started, executor.info().id);
+                if (task != m_tasks.end() && task->second.isCancelled)
+                    stopRun(executor, it.task, *run);
+            }
+            continue;
+        }
+        // A listing may be older than what is known: the run's end may have been listed since.
+        const auto ended = m_ended.find(it.task);
+        if (run || (ended != m_ended.end() && ended->second.run >= it.run))
+            continue;
+        if (executor.isLooked && sequence != m_lastHold)
+            continue;
+        Base::log(LogLevel::Info, "runFound",
+                  {{"task", toString(it.task)}, {"run", it.run}, {"executor", executor.info().id}});
+        Run found;
+        found.number = it.run;
+        found.state = RunState::Running;
+        found.since = now;
+        found.isClaimed = false;
+        found.visibleFrom = sequence + 1;
+        const auto task = m_tasks.find(it.task);
+        if (task != m_tasks.end() && task->second.state != TaskState::OnExecutor) {
+            found.isClaimed = true;
+            found.shape = task->second.order->shape;
+            m_queue.remove(it.task);
+            m_awaitingLook.erase(it.task);
+            task->second.state = TaskState::OnExecutor;
+            task->second.executor = executor.info().id;
+            task->second.wasStarted = true;
+            task->second.nextRun = std::max(task->second.nextRun, it.run.value() + 1);
+            report(task->second.coordinator, it.task, it.run, TaskReportState::Started,
+                   executor.info().id);
+        }
+        executor.runs().emplace(it.task, found);
+    }
+    std::vector<TaskId> gone;
+    std::vector<TaskId> notStarted;
+    for (const auto &[task, run] : executor.runs()) {
+        if (listed.contains(task) || sequence < run.visibleFrom)
+            continue;
+        (run.state == RunState::Unresolved ? notStarted : gone).push_back(task);
+    }
+    for (const TaskId &it : gone)
+        runGone(executor, it);
+    for (const TaskId &it : notStarted) {
+        // The start may still be carried out. After a stop the executor refuses it.
+        Run *run = executor.find(it);
+        stopRun(executor, it, *run);
+    }
+    if (!executor.isLooked) {
+        executor.isLooked = true;
+        changed();
+    }
+}
+
+void ExecutorGroup::endReceived(ExecutorLedger &executor, const ListedEnd &end)
+{
+    const auto known = m_ended.find(end.task);
+    if (known == m_ended.end() || known->second.run <= end.run)
+        m_ended[end.task] = {end.run, end.end, m_timers.now()};
+    Run *run = executor.find(end.task);
+    if (!run || run->number != end.run)
+        return;
+    const Run copy = *run;
+    executor.runs().erase(end.task);
+    changed();
+    if (!copy.isClaimed)
+        return;
+    learnFromEnd(executor, end.task, copy, end.end);
+    switch (end.end) {
+    case RunEnd::Done:
+        ++m_counters.done;
+        finishTask(end.task, end.run, TaskReportState::Done, executor.info().id);
+        return;
+    case RunEnd::Failed:
+        ++m_counters.failed;
+        finishTask(end.task, end.run, TaskReportState::Failed, executor.info().id);
+        return;
+    case RunEnd::Stopped:
+    case RunEnd::Lapsed:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        ++m_counters.lost;
+        finishTask(end.task, end.run, TaskReportState::Lost, executor.info().id);
+        return;
+    }
+}
+
+void ExecutorGroup::learnFromEnd(ExecutorLedger &executor, const TaskId &id, const Run &run,
+                                 RunEnd end)
+{
+    const auto it = m_tasks.find(id);
+    if (it == m_tasks.end() || run.expected.count() == 0)
+        return;
+    const Base::TimePoint now = m_timers.now();
+    if (end == RunEnd::Failed) {
+        if (executor.runFailed(id.job, now))
+            Base::log(LogLevel::Warning, "executorEjected", {{"executor", executor.info().id}});
+        return;
+    }
+    if (end != RunEnd::Done)
+        return;
+    const Base::Duration runTime = now - run.since;
+    const Order &order = *it->second.order;
+    const double runLogMs =
+        std::log(std::max(std::chrono::duration<double, std::milli>(runTime).count(), 0.1));
+    const double residual = runLogMs + std::log(executor.speed()) - estimateLogMs(order);
+    executor.runSucceeded(runTime, estimateLogMs(order));
+    double &bias = m_estimateBias[order.batch.priority];
+    bias += BIAS_NEWEST_WEIGHT * std::clamp(residual, -1.0, 1.0);
+}
+
+void ExecutorGroup::runGone(ExecutorLedger &executor, const TaskId &id)
+{
+    const Run *run = executor.find(id);
+    if (!run)
+        return;
+    const bool wasClaimed = run->isClaimed;
+    Base::log(LogLevel::Info, "runGone",
+              {{"task", toString(id)}, {"run", run->number}, {"executor", executor.info().id}});
+    executor.runs().erase(id);
+    changed();
+    ++m_counters.lost;
+    if (wasClaimed)
+        requeue(id, true);
+}
+
+void ExecutorGroup::lifetimeEnded(ExecutorLedger &executor, Lifetime lifetime)
+{
+    Base::log(LogLevel::Warning, "executorRestarted",
+              {{"executor", executor.info().id},
+               {"runs", executor.runs().size()},
+               {"lifetime", lifetime}});
+    std::vector<TaskId> lost;
+    for (const auto &[task, run] : executor.runs()) {
+        if (run.isClaimed)
+            lost.push_back(task);
+    }
+    executor.beginLifetime(lifetime);
+    changed();
+    for (const TaskId &it : lost) {
+        ++m_counters.lost;
+        requeue(it, true);
+    }
+    executor.nextTry = m_timers.now();
+    flushReports();
+}
+
+void ExecutorGroup::stopJob(const Base::DaemonId &from, const JobId &job)
+{
+    std::vector<TaskId> ids;
+    for (auto it = m_tasks.lower_bound({job, 0, 0, 0}); it != m_tasks.end() && it->first.job == job;
+         ++it) {
+        if (it->second.coordinator == from)
+            ids.push_back(it->first);
+    }
+    for (const TaskId &it : ids) {
+        Task &task = m_tasks.at(it);
+        if (task.state != TaskState::OnExecutor) {
+            finishTask(it, RunNumber(), TaskReportState::Returned, {});
+            continue;
+        }
+        task.isCancelled = true;
+        ExecutorLedger *executor = ledger(task.executor);
+        EP_ASSERT(executor, continue);
+        Run *run = executor->find(it);
+        EP_ASSERT(run, continue);
+        if (run->state == RunState::Running)
+            stopRun(*executor, it, *run);
+    }
+    placeQueued();
+    flushReports();
+}
+
+void ExecutorGroup::coordinatorLost(const Base::DaemonId &daemon)
+{
+    std::set<JobId> jobs;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.coordinator == daemon)
+            jobs.insert(id.job);
+    }
+    if (!jobs.empty())
+        Base::log(LogLevel::Warning, "coordinatorLost",
+                  {{"daemon", daemon}, {"jobs", jobs.size()}});
+    for (const JobId &it : jobs)
+        stopJob(daemon, it);
+    m_batchesSeen.erase(daemon);
+}
+
+void ExecutorGroup::finishTask(const TaskId &id, RunNumber run, TaskReportState state,
+                               const ExecutorId &executor)
+{
+    const auto it = m_tasks.find(id);
+    if (it == m_tasks.end())
+        return;
+    m_queue.remove(id);
+    m_awaitingLook.erase(id);
+    report(it->second.coordinator, id, run, state, executor);
+    m_tasks.erase(it);
+    changed();
+}
+
+void ExecutorGroup::report(const Base::DaemonId &coordinator, const TaskId &id, RunNumber run,
+                           TaskReportState state, const ExecutorId &executor)
+{
+    Wire::TaskReports &reports = m_reports[{coordinator, id.job}];
+    reports.group = m_group.value();
+    reports.job = id.job.value();
+    reports.reports.push_back({id.occurrence, id.step, id.index, run.value(),
+                               static_cast<std::uint8_t>(state), executor.value()});
+    if (m_isFlushScheduled)
+        return;
+    m_isFlushScheduled = true;
+    m_timers.schedule(Base::Duration(0), [this, alive = m_isAlive] {
+        if (*alive)
+            flushReports();
+    });
+}
+
+void ExecutorGroup::flushReports()
+{
+    m_isFlushScheduled = false;
+    for (const auto &[key, reports] : std::exchange(m_reports, {}))
+        m_listener.tasksReported(key.first, reports);
+}
+
+bool ExecutorGroup::areAllLooked() const
+{
+    const bool areLeasesOver =
+        m_timers.now() >= m_claimed + Constants::LEASE_MS + Constants::LEASE_SLACK_MS;
+    return areLeasesOver
+           || std::all_of(m_ledgers.begin(), m_ledgers.end(),
+                          [](const auto &it) { return it.second.isLooked; });
+}
+
+void ExecutorGroup::releaseAwaitingLook()
+{
+    if (m_awaitingLook.empty() || !areAllLooked())
+        return;
+    for (const TaskId &it : std::exchange(m_awaitingLook, {})) {
+        const auto task = m_tasks.find(it);
+        EP_ASSERT(task != m_tasks.end(), continue);
+        const auto ended = m_ended.find(it);
+        const bool isKnownResult = ended != m_ended.end()
+                                   && (ended->second.end == RunEnd::Done
+                                       || ended->second.end == RunEnd::Failed)
+                                   && ended->second.run.value() >= task->second.nextRun;
+        if (isKnownResult) {
+            finishTask(it, ended->second.run,
+                       ended->second.end == RunEnd::Done ? TaskReportState::Done
+                                                         : TaskReportState::Failed,
+                       {});
+            continue;
+        }
+        if (ended != m_ended.end())
+            task->second.nextRun = std::max(task->second.nextRun, ended->second.run.value() + 1);
+        enqueue(it, task->second);
+    }
+}
+
+void ExecutorGroup::followExecutor(ExecutorLedger &executor)
+{
+    const bool isWatched = !executor.runs().empty() || executor.hasUnacknowledgedEnds;
+    if (isWatched && !executor.isHoldPending && executor.missedAnswers == 0)
+        hold(executor, false);
+}
+
+void ExecutorGroup::checkRuns(ExecutorLedger &executor)
+{
+    const Base::TimePoint now = m_timers.now();
+    const bool isLeaseOver = now > executor.leaseEnd();
+    std::vector<TaskId> lapsed;
+    for (auto &[id, run] : executor.runs()) {
+        if (isLeaseOver && run.state != RunState::Starting) {
+            lapsed.push_back(id);
+            continue;
+        }
+        if (run.state == RunState::Stopping && !run.isStopAccepted
+            && now - run.stopSent > Constants::LOOK_RETRY_MS * 3) {
+            stopRun(executor, id, run);
+        } else if (!run.isClaimed && now - run.since > Constants::CLAIM_WINDOW_MS
+                   && run.state == RunState::Running) {
+            stopRun(executor, id, run);
+        } else if (run.state == RunState::Running && run.expected.count() > 0) {
+            const Base::Duration limit =
+                std::max<Base::Duration>(Constants::STRAGGLER_MIN_MS,
+                                         std::chrono::duration_cast<Base::Duration>(
+                                             run.expected * Constants::STRAGGLER_FACTOR));
+            if (now - run.since < limit)
+                continue;
+            ++m_counters.stragglers;
+            Base::log(LogLevel::Info, "stragglerStopped",
+                      {{"task", toString(id)},
+                       {"executor", executor.info().id},
+                       {"expected", run.expected},
+                       {"elapsed", now - run.since}});
+            const auto task = m_tasks.find(id);
+            if (task != m_tasks.end())
+                executor.runSucceeded(now - run.since, estimateLogMs(*task->second.order));
+            executor.runFailed(id.job, now);
+            stopRun(executor, id, run);
+        }
+    }
+    for (const TaskId &it : lapsed)
+        runGone(executor, it);
+}
+
+void ExecutorGroup::tick()
+{
+    if (m_isFenced)
+        return;
+    const Base::TimePoint now = m_timers.now();
+    for (auto &[id, executor] : m_ledgers) {
+        checkRuns(executor);
+        if (!executor.isLooked || executor.missedAnswers > 0) {
+            if (!executor.isLookPending && now >= executor.nextTry)
+                hold(executor, true);
+        } else {
+            followExecutor(executor);
+        }
+        if (m_isFenced)
+            return;
+    }
+    std::erase_if(m_ledgers, [](const auto &it) {
+        return !it.second.isRegistered && it.second.runs().empty();
+    });
+    std::erase_if(m_ended,
+                  [now](const auto &it) { return now - it.second.time > Constants::END_MEMORY_MS; });
+    releaseAwaitingLook();
+    for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
+        const auto task = m_tasks.find(it.task);
+        EP_ASSERT(task != m_tasks.end(), continue);
+        if (now >= task->second.order->deadline)
+            finishTask(it.task, RunNumber(), TaskReportState::Returned, {});
+    }
+    placeQueued();
+    flushReports();
+}
+
+bool ExecutorGroup::isLoadReportDue() const
+{
+    const Base::Duration age = m_timers.now() - m_lastReport;
+    return (m_isLoadChanged && age >= Constants::LOAD_REPORT_MS) || age >= Constants::LOAD_REPEAT_MS;
+}
+
+void ExecutorGroup::loadReported()
+{
+    m_lastReport = m_timers.now();
+    m_isLoadChanged = false;
+}
+
+Wire::GroupLoad ExecutorGroup::loadFor(const Base::DaemonId &recipient) const
+{
+    const Base::TimePoint now = m_timers.now();
+    Wire::GroupLoad load;
+    load.group = m_group.value();
+    load.token = m_token.value();
+    const auto seen = m_batchesSeen.find(recipient);
+    load.batchesSeen = seen == m_batchesSeen.end() ? 0 : seen->second;
+    for (const auto &[id, executor] : m_ledgers) {
+        if (!executor.isUsable(now))
+            continue;
+        const ExecutorInfo &info = executor.info();
+        const Resources room = executor.freeRoom();
+        load.executors.push_back({info.service.value(), info.rack, info.kind, room.cpuMillis,
+                                  room.memoryMb, room.gpus, info.capacity.cpuMillis,
+                                  static_cast<std::uint32_t>(executor.speed() * 100)});
+    }
+    for (const TaskQueue::Load &it : m_queue.load()) {
+        load.queues.push_back({it.service.value(), it.priority,
+                               static_cast<std::uint64_t>(it.cpuMillisSeconds)});
+    }
+    return load;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/groupdirectory.cpp
@@ -0,0 +1,237 @@
+// Views of the groups and the choice among them.
+#include "groupdirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Dispatch {
+
+/// Speed of an executor elsewhere relative to an equal one nearby: two link delays of 1.4 ms on a
+/// task of 60 ms, and bytes between failure domains are dear.
+static constexpr double REMOTE_SPEED = 0.93;
+/// Speed outside of the preferred rack, as in ExecutorGroup.
+static constexpr double OTHER_RACK_SPEED = 0.5;
+
+static Resources freeRoom(const Wire::ExecutorLoad &executor)
+{
+    return {executor.freeCpuMillis, executor.freeMemoryMb, executor.freeGpus};
+}
+
+static bool suits(const Wire::ExecutorLoad &executor, const PlacementRequest &request)
+{
+    return executor.service == request.service.value()
+           && (request.requiredLabel.empty() || executor.kind == request.requiredLabel)
+           && request.shape.fits(freeRoom(executor));
+}
+
+static double speedFor(const Wire::ExecutorLoad &executor, const PlacementRequest &request)
+{
+    const double speed = executor.speedPercent / 100.0;
+    const bool isFar = !request.preferredRack.empty() && executor.rack != request.preferredRack;
+    return isFar ? speed * OTHER_RACK_SPEED : speed;
+}
+
+static void takeRoom(Wire::ExecutorLoad &executor, const Resources &shape)
+{
+    const Resources rest = freeRoom(executor).minus(shape);
+    executor.freeCpuMillis = rest.cpuMillis;
+    executor.freeMemoryMb = rest.memoryMb;
+    executor.freeGpus = rest.gpus;
+}
+
+static double workOf(const PlacementRequest &request)
+{
+    return request.shape.cpuMillis * std::chrono::duration<double>(request.estimate).count();
+}
+
+GroupDirectory::GroupDirectory(Base::FailureDomainId domain)
+    : m_domain(std::move(domain))
+{}
+
+void GroupDirectory::setGroups(const std::map<GroupId, Base::FailureDomainId> &groups)
+{
+    for (const auto &[id, domain] : groups)
+        m_groups[id].domain = domain;
+}
+
+/// Takes the room of \a request where the owner would: on the fastest free executors.
+void GroupDirectory::apply(Group &group, const PlacementRequest &request)
+{
+    for (std::uint32_t i = 0; i < request.count; ++i) {
+        Wire::ExecutorLoad *best = nullptr;
+        for (Wire::ExecutorLoad &it : group.executors) {
+            if (suits(it, request)
+                && (!best || speedFor(it, request) > speedFor(*best, request))) {
+                best = &it;
+            }
+        }
+        if (best)
+            takeRoom(*best, request.shape);
+        else
+            group.queued[{request.service, request.priority}] += workOf(request);
+    }
+}
+
+void GroupDirectory::rebuild(Group &group)
+{
+    group.executors = group.load.executors;
+    group.queued.clear();
+    for (const Wire::QueueLoad &it : group.load.queues)
+        group.queued[{ServiceId(it.service), it.priority}] +=
+            static_cast<double>(it.cpuMillisSeconds);
+    for (const Pending &it : group.pending)
+        apply(group, it.request);
+}
+
+void GroupDirectory::loadReceived(const Wire::GroupLoad &load)
+{
+    const auto it = m_groups.find(GroupId(load.group));
+    if (it == m_groups.end())
+        return;
+    Group &group = it->second;
+    if (group.isKnown && load.token < group.load.token)
+        return;
+    group.isKnown = true;
+    group.load = load;
+    std::erase_if(group.pending,
+                  [&load](const Pending &p) { return p.sequence <= load.batchesSeen; });
+    rebuild(group);
+}
+
+void GroupDirectory::forgetLoad(const GroupId &id)
+{
+    const auto it = m_groups.find(id);
+    if (it == m_groups.end())
+        return;
+    it->second.isKnown = false;
+    it->second.executors.clear();
+    it->second.pending.clear();
+    it->second.queued.clear();
+}
+
+Base::Duration GroupDirectory::waitIn(const Group &group, const ServiceId &service,
+                                      std::uint32_t priority)
+{
+    double capacity = 0;
+    for (const Wire::ExecutorLoad &it : group.load.executors) {
+        if (it.service == service.value())
+            capacity += it.cpuMillis * (it.speedPercent / 100.0);
+    }
+    if (capacity <= 0)
+        return std::chrono::hours(1);
+    double work = 0;
+    for (const auto &[key, queued] : group.queued) {
+        if (key.first == service && key.second <= priority)
+            work += queued;
+    }
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double>(work / capacity));
+}
+
+static bool hasService(const std::vector<Wire::ExecutorLoad> &executors, const ServiceId &service)
+{
+    return std::any_of(executors.begin(), executors.end(),
+                       [&service](const auto &it) { return it.service == service.value(); });
+}
+
+std::vector<PlacementShare> GroupDirectory::place(const PlacementRequest &request)
+{
+    std::map<GroupId, PlacementShare> shares;
+    PlacementRequest one = request;
+    one.count = 1;
+    // Works on copies of the room, since batchSent() takes it for good.
+    std::map<GroupId, std::vector<Wire::ExecutorLoad>> rooms;
+    for (const auto &[id, group] : m_groups) {
+        if (group.isKnown)
+            rooms.emplace(id, group.executors);
+    }
+    std::map<GroupId, double> added; // work queued by this call
+    for (std::uint32_t i = 0; i < request.count; ++i) {
+        Wire::ExecutorLoad *best = nullptr;
+        GroupId bestGroup;
+        double bestSpeed = 0;
+        for (auto &[id, executors] : rooms) {
+            const double distance = m_groups.at(id).domain == m_domain ? 1 : REMOTE_SPEED;
+            for (Wire::ExecutorLoad &it : executors) {
+                if (!suits(it, one))
+                    continue;
+                const double speed = speedFor(it, one) * distance;
+                if (!best || speed > bestSpeed) {
+                    best = &it;
+                    bestGroup = id;
+                    bestSpeed = speed;
+                }
+            }
+        }
+        if (best) {
+            takeRoom(*best, request.shape);
+            PlacementShare &share = shares[bestGroup];
+            ++share.count;
+            ++share.startable;
+            continue;
+        }
+        std::optional<double> shortest;
+        for (const auto &[id, executors] : rooms) {
+            const Group &group = m_groups.at(id);
+            if (!hasService(group.load.executors, request.service))
+                continue;
+            double capacity = 0;
+            for (const Wire::ExecutorLoad &it : group.load.executors)
+                capacity += it.cpuMillis * (it.speedPercent / 100.0);
+            const double wait =
+                std::chrono::duration<double>(waitIn(group, request.service, request.priority))
+                    .count()
+                + added[id] / capacity + (group.domain == m_domain ? 0 : 1e-3);
+            if (!shortest || wait < *shortest) {
+                shortest = wait;
+                bestGroup = id;
+            }
+        }
+        if (!shortest)
+            break;
+        added[bestGroup] += workOf(request);
+        ++shares[bestGroup].count;
+    }
+    std::vector<PlacementShare> result;
+    for (auto &[id, share] : shares) {
+        share.group = id;
+        result.push_back(share);
+    }
+    return result;
+}
+
+void GroupDirectory::batchSent(const GroupId &id, std::uint64_t sequence,
+                               const PlacementRequest &request)
+{
+    const auto it = m_groups.find(id);
+    if (it == m_groups.end() || !it->second.isKnown)
+        return;
+    it->second.pending.push_back({sequence, request});
+    apply(it->second, request);
+}
+
+std::optional<Base::Duration> GroupDirectory::expectedWait(const ServiceId &service,
+                                                           std::uint32_t priority) const
+{
+    std::optional<Base::Duration> shortest;
+    for (const auto &[id, group] : m_groups) {
+        if (!group.isKnown || !hasService(group.load.executors, service))
+            continue;
+        const Base::Duration wait = waitIn(group, service, priority);
+        shortest = shortest ? std::min(*shortest, wait) : wait;
+    }
+    return shortest;
+}
+
+bool GroupDirectory::isRunnable(const ServiceId &service, const Resources &shape) const
+{
+    for (const auto &[id, group] : m_groups) {
+        for (const Wire::ExecutorLoad &it : group.load.executors) {
+            if (it.service == service.value() && shape.cpuMillis <= it.cpuMillis)
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/grouprights.cpp
@@ -0,0 +1,283 @@
+// Claims of groups, from state messages and silence.
+#include "grouprights.h"
+
+#include "dispatchconstants.h"
+
+#include <base/hash.h>
+#include <base/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dispatch {
+
+using Base::LogLevel;
+
+static constexpr std::uint64_t DAEMON_MASK = (1ULL << Constants::TOKEN_DAEMON_BITS) - 1;
+
+GroupRights::GroupRights(Base::DaemonId self, Base::FailureDomainId domain, Base::Timers &timers,
+                         RightsListener &listener)
+    : m_self(std::move(self))
+    , m_domain(std::move(domain))
+    , m_timers(timers)
+    , m_listener(listener)
+    , m_started(timers.now())
+{}
+
+std::uint64_t GroupRights::roundOf(FencingToken token) const
+{
+    return token.value() >> Constants::TOKEN_DAEMON_BITS;
+}
+
+void GroupRights::setDaemonNumber(std::uint64_t number)
+{
+    m_daemonNumber = number;
+    // Earlier daemons had lower numbers, so this is above the rounds that they began with.
+    m_highestRound = std::max(m_highestRound, number);
+}
+
+void GroupRights::setGroups(const std::map<GroupId, Base::FailureDomainId> &groups)
+{
+    for (const auto &[id, domain] : groups) {
+        if (m_groups.contains(id))
+            continue;
+        Group group;
+        group.domain = domain;
+        m_groups.emplace(id, group);
+    }
+}
+
+bool GroupRights::isAlive(const Base::DaemonId &peer) const
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end())
+        return false;
+    const Peer &p = it->second;
+    const Base::Duration silence = m_timers.now() - p.heard;
+    if (p.broken > p.heard)
+        return silence <= Constants::BROKEN_PEER_SILENCE_MS;
+    return silence <= Constants::PEER_SILENCE_MS;
+}
+
+void GroupRights::peerHeard(const Base::DaemonId &peer, const Base::FailureDomainId &domain,
+                            Base::Incarnation incarnation, const Wire::DispatchState &state)
+{
+    const auto [it, isNew] = m_peers.try_emplace(peer);
+    Peer &p = it->second;
+    if (!isNew && p.incarnation != incarnation && !p.isLost) {
+        // It restarted before its silence was noticed. Its claims are those of its earlier run.
+        p.isLost = true;
+        for (auto &[id, group] : m_groups) {
+            if (group.claim && group.claim->owner == peer)
+                group.claim->confirmed = {};
+        }
+        m_listener.peerLost(peer);
+    }
+    if (isNew || p.isLost)
+        Base::log(LogLevel::Info, "peerHeard", {{"peer", peer}, {"incarnation", incarnation}});
+    p.domain = domain;
+    p.incarnation = incarnation;
+    p.heard = m_timers.now();
+    p.heardAgo = std::chrono::milliseconds(state.heardAgoMs);
+    p.isDraining = state.draining;
+    p.isLost = false;
+    for (const Wire::GroupClaim &it2 : state.claims)
+        mergeClaim(it2);
+}
+
+void GroupRights::peerBroken(const Base::DaemonId &peer)
+{
+    const auto it = m_peers.find(peer);
+    if (it != m_peers.end())
+        it->second.broken = m_timers.now();
+}
+
+void GroupRights::mergeClaim(const Wire::GroupClaim &claim)
+{
+    const auto it = m_groups.find(GroupId(claim.group));
+    if (it == m_groups.end())
+        return;
+    Group &group = it->second;
+    const FencingToken token(claim.token);
+    m_highestRound = std::max(m_highestRound, roundOf(token));
+    const Base::TimePoint confirmed = m_timers.now() - std::chrono::milliseconds(claim.ageMs);
+    if (group.claim && group.claim->token > token)
+        return;
+    if (group.claim && group.claim->token == token) {
+        if (group.claim->owner != m_self)
+            group.claim->confirmed = std::max(group.claim->confirmed, confirmed);
+        return;
+    }
+    // A claim under a name of this daemon that it does not hold is that of its earlier run.
+    if (Base::DaemonId(claim.owner) == m_self)
+        return;
+    const bool wasOwn = group.claim && group.claim->owner == m_self;
+    group.claim = Claim{Base::DaemonId(claim.owner), token, confirmed};
+    Base::log(LogLevel::Info, "groupOwner",
+              {{"group", it->first}, {"owner", claim.owner}, {"token", token}});
+    if (wasOwn)
+        m_listener.groupLost(it->first);
+    m_listener.groupOwnerChanged(it->first);
+}
+
+void GroupRights::fenced(const GroupId &group)
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end() || !it->second.claim || it->second.claim->owner != m_self)
+        return;
+    Base::log(LogLevel::Warning, "groupFenced",
+              {{"group", group}, {"token", it->second.claim->token}});
+    // Another daemon uses a higher token, or one did before all daemons restarted.
+    it->second.minRound = roundOf(it->second.claim->token) + Constants::ROUND_STEP;
+    it->second.claim.reset();
+    it->second.isVacant = false;
+    m_listener.groupLost(group);
+    m_listener.groupOwnerChanged(group);
+}
+
+bool GroupRights::isClaimValid(const Group &group) const
+{
+    if (!group.claim)
+        return false;
+    if (group.claim->owner == m_self)
+        return true;
+    const Base::Duration age = m_timers.now() - group.claim->confirmed;
+    const auto peer = m_peers.find(group.claim->owner);
+    if (peer != m_peers.end() && peer->second.isDraining)
+        return false;
+    if (peer != m_peers.end() && peer->second.broken > peer->second.heard)
+        return age <= Constants::BROKEN_PEER_SILENCE_MS;
+    return age <= Constants::CLAIM_LIFETIME_MS;
+}
+
+std::optional<Base::DaemonId> GroupRights::owner(const GroupId &group) const
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end() || !it->second.claim)
+        return std::nullopt;
+    return it->second.claim->owner;
+}
+
+bool GroupRights::isOwned(const GroupId &group) const
+{
+    return owner(group) == m_self;
+}
+
+std::size_t GroupRights::rank(const GroupId &id, const Group &group) const
+{
+    // Daemons of the group's own domain come first. The hash spreads groups over equal daemons.
+    const auto key = [&](const Base::DaemonId &daemon, const Base::FailureDomainId &domain) {
+        return std::pair(domain != group.domain,
+                         Base::stableHash(id.value() + "/" + daemon.value()));
+    };
+    const auto own = key(m_self, m_domain);
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &it) {
+            return !it.second.isDraining && isAlive(it.first)
+                   && key(it.first, it.second.domain) < own;
+        }));
+}
+
+void GroupRights::claim(const GroupId &id, Group &group)
+{
+    m_highestRound = std::max(m_highestRound + 1, group.minRound);
+    const FencingToken token((m_highestRound << Constants::TOKEN_DAEMON_BITS)
+                             | (m_daemonNumber & DAEMON_MASK));
+    Base::log(LogLevel::Info, "groupClaimed",
+              {{"group", id},
+               {"token", token},
+               {"before", group.claim ? group.claim->owner.value() : std::string("none")}});
+    group.claim = Claim{m_self, token, m_timers.now()};
+    group.isVacant = false;
+    m_listener.groupClaimed(id, token);
+    m_listener.groupOwnerChanged(id);
+}
+
+void GroupRights::tickGroup(const GroupId &id, Group &group)
+{
+    const Base::TimePoint now = m_timers.now();
+    if (group.claim && group.claim->owner == m_self) {
+        group.claim->confirmed = now;
+        return;
+    }
+    if (isClaimValid(group)) {
+        group.isVacant = false;
+        // The claim of a daemon elsewhere stands in until a daemon of the domain is up again.
+        const auto peer = m_peers.find(group.claim->owner);
+        const bool isForeign = peer != m_peers.end() && peer->second.domain != group.domain;
+        if (isForeign && m_domain == group.domain && now - m_started > Constants::HOME_CLAIM_DELAY_MS
+            && rank(id, group) == 0) {
+            claim(id, group);
+        }
+        return;
+    }
+    if (!group.isVacant) {
+        group.isVacant = true;
+        group.vacantSince = now;
+    }
+    const auto wait = Constants::CLAIM_RANK_DELAY_MS * rank(id, group);
+    if (now - group.vacantSince >= wait)
+        claim(id, group);
+}
+
+void GroupRights::tick()
+{
+    const Base::TimePoint now = m_timers.now();
+    if (now - std::exchange(m_lastTick, now) > Constants::PAUSE_MS)
+        m_quietUntil = now + Constants::CLAIM_START_DELAY_MS;
+    if (now < m_quietUntil)
+        return;
+    std::vector<Base::DaemonId> lost;
+    for (auto &[id, peer] : m_peers) {
+        // A daemon that hears nothing from this one counts as lost as well: it treats this one so.
+        const bool isDeaf = peer.heardAgo > Constants::PEER_SILENCE_MS;
+        if (!peer.isLost && (!isAlive(id) || isDeaf)) {
+            peer.isLost = true;
+            lost.push_back(id);
+            Base::log(LogLevel::Warning, "peerLost",
+                      {{"peer", id}, {"silence", now - peer.heard}, {"heardAgo", peer.heardAgo}});
+        }
+    }
+    for (const Base::DaemonId &it : lost)
+        m_listener.peerLost(it);
+    if (m_daemonNumber == 0 || m_isDraining || now - m_started < Constants::CLAIM_START_DELAY_MS)
+        return;
+    for (auto &[id, group] : m_groups)
+        tickGroup(id, group);
+}
+
+std::vector<Base::DaemonId> GroupRights::peersToReset()
+{
+    const Base::TimePoint now = m_timers.now();
+    std::vector<Base::DaemonId> peers;
+    for (auto &[id, peer] : m_peers) {
+        if (!isAlive(id) || peer.heardAgo < Constants::PEER_SILENCE_MS
+            || now - peer.resetTime < Constants::PEER_SILENCE_MS) {
+            continue;
+        }
+        peer.resetTime = now;
+        peers.push_back(id);
+    }
+    return peers;
+}
+
+Wire::DispatchState GroupRights::stateFor(const Base::DaemonId &peer) const
+{
+    const Base::TimePoint now = m_timers.now();
+    const auto age = [now](Base::TimePoint time) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Base::toMilliseconds(now - time)));
+    };
+    Wire::DispatchState state;
+    state.draining = m_isDraining;
+    const auto it = m_peers.find(peer);
+    state.heardAgoMs = it == m_peers.end() ? 0 : age(it->second.heard);
+    for (const auto &[id, group] : m_groups) {
+        if (group.claim && isClaimValid(group)) {
+            state.claims.push_back({id.value(), group.claim->owner.value(),
+                                    group.claim->token.value(), age(group.claim->confirmed)});
+        }
+    }
+    return state;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/grouprights.h
@@ -0,0 +1,114 @@
+// Decides which daemon orders the executors of each group.
+#pragma once
+
+#include "dispatchtypes.h"
+
+#include <wire/messages.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Dispatch {
+
+class RightsListener
+{
+public:
+    virtual ~RightsListener() = default;
+
+    virtual void groupClaimed(const GroupId &group, FencingToken token) = 0;
+    virtual void groupLost(const GroupId &group) = 0;
+    /// The owner of a group is another one than before, which may be this daemon.
+    virtual void groupOwnerChanged(const GroupId &group) = 0;
+    /// A peer is silent, restarted, or receives nothing from this daemon.
+    virtual void peerLost(const Base::DaemonId &peer) = 0;
+};
+
+/// Rights need no agreement beforehand: the executors refuse all tokens but the highest that they
+/// have seen, so that two daemons that both believe to own a group can't both start work for long.
+/// What this class adds is that daemons that hear each other settle on one owner, and that a silent
+/// owner is replaced within PEER_SILENCE_MS. It needs neither the store nor a majority, so each part
+/// of a divided deployment goes on with the executors that it reaches.
+///
+/// Tokens are unique: the high bits are a round that rises with each claim, the low bits tell the
+/// daemons apart.
+class GroupRights
+{
+public:
+    GroupRights(Base::DaemonId self, Base::FailureDomainId domain, Base::Timers &timers,
+                RightsListener &listener);
+
+    /// \a number is unique among all daemons that ever were; later daemons have higher numbers.
+    /// Until it is set, nothing is claimed.
+    void setDaemonNumber(std::uint64_t number);
+    /// The groups that there are, with their failure domains.
+    void setGroups(const std::map<GroupId, Base::FailureDomainId> &groups);
+    void setDraining() { m_isDraining = true; }
+
+    void peerHeard(const Base::DaemonId &peer, const Base::FailureDomainId &domain,
+                   Base::Incarnation incarnation, const Wire::DispatchState &state);
+    void peerBroken(const Base::DaemonId &peer);
+    /// An executor of \a group refused the token of this daemon.
+    void fenced(const GroupId &group);
+
+    /// Finds lost peers and claims groups; called every TICK_MS.
+    void tick();
+
+    Wire::DispatchState stateFor(const Base::DaemonId &peer) const;
+    std::optional<Base::DaemonId> owner(const GroupId &group) const;
+    bool isOwned(const GroupId &group) const;
+    bool isAlive(const Base::DaemonId &peer) const;
+    std::vector<Base::DaemonId> peersToReset();
+
+private:
+    struct Peer
+    {
+        Base::FailureDomainId domain;
+        Base::Incarnation incarnation;
+        Base::TimePoint heard;
+        Base::TimePoint broken; // when its connection broke; before heard if it did not
+        Base::Duration heardAgo{0}; // as of heard: since the peer heard from this daemon
+        bool isDraining = false;
+        bool isLost = false;
+        Base::TimePoint resetTime;
+    };
+
+    struct Claim
+    {
+        Base::DaemonId owner;
+        FencingToken token;
+        Base::TimePoint confirmed; // latest time at which the owner is known to have lived
+    };
+
+    struct Group
+    {
+        Base::FailureDomainId domain;
+        std::optional<Claim> claim;
+        Base::TimePoint vacantSince; // if there is no valid claim
+        bool isVacant = false;
+        std::uint64_t minRound = 0;
+    };
+
+    bool isClaimValid(const Group &group) const;
+    void mergeClaim(const Wire::GroupClaim &claim);
+    void claim(const GroupId &id, Group &group);
+    void tickGroup(const GroupId &id, Group &group);
+    /// Position of this daemon among those that may claim \a group; the first claims at once.
+    std::size_t rank(const GroupId &id, const Group &group) const;
+    std::uint64_t roundOf(FencingToken token) const;
+
+    const Base::DaemonId m_self;
+    const Base::FailureDomainId m_domain;
+    Base::Timers &m_timers;
+    RightsListener &m_listener;
+    const Base::TimePoint m_started;
+    std::uint64_t m_daemonNumber = 0;
+    std::uint64_t m_highestRound = 0; // of all claims heard of
+    bool m_isDraining = false;
+    Base::TimePoint m_lastTick;
+    Base::TimePoint m_quietUntil; // after a pause of this process nothing is known about silence
+    std::map<Base::DaemonId, Peer> m_peers;
+    std::map<GroupId, Group> m_groups;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -0,0 +1,348 @@
+// Life of a job.
+#include "jobcoordinator.h"
+
+#include "dispatchconstants.h"
+
+#include <base/log.h>
+#include <base/softassert.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Dispatch {
+
+using Base::LogLevel;
+using Wire::TaskReportState;
+
+JobCoordinator::JobCoordinator(Base::Timers &timers, GroupDirectory &directory, GroupSender &sender)
+    : m_timers(timers)
+    , m_directory(directory)
+    , m_sender(sender)
+{}
+
+JobCoordinator::~JobCoordinator() = default;
+
+/// Longest chain of estimated run times through the steps.
+static Base::Duration longestChain(const JobSpec &spec)
+{
+    std::vector<Base::Duration> ends(spec.steps.size(), Base::Duration(0));
+    Base::Duration longest{0};
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        Base::Duration begin{0};
+        for (const std::uint32_t it : spec.steps[i].after)
+            begin = std::max(begin, ends[it]);
+        ends[i] = begin + spec.steps[i].estimate;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+static Base::Duration scaled(Base::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Base::Duration>(duration * factor);
+}
+
+void JobCoordinator::submit(JobRequest request, Callback callback)
+{
+    const JobId id = request.spec.id;
+    const Base::TimePoint now = m_timers.now();
+    const Base::Duration chain = longestChain(request.spec);
+    const QueuePolicy &policy = request.policy;
+    const Base::Duration objective = scaled(chain, policy.stretch) + policy.targetCompletion;
+    const auto wait = m_directory.expectedWait(policy.service, policy.priority);
+    const Base::Duration useful =
+        std::min(scaled(objective, Constants::LATE_FACTOR), request.timeLeft);
+    if (!wait || *wait + chain > useful) {
+        ++m_counters.rejected;
+        Base::log(LogLevel::Info, "jobRejected",
+                  {{"job", id},
+                   {"queue", policy.queue},
+                   {"expectedWait", wait ? *wait : Base::Duration(-1)},
+                   {"chain", chain},
+                   {"useful", useful}});
+        callback({JobOutcome::Rejected, wait ? "overloaded" : "noExecutors",
+                  wait ? *wait : Base::Duration(0)});
+        return;
+    }
+    Job job;
+    job.callback = std::move(callback);
+    job.accepted = now;
+    job.objective = now + objective;
+    job.deadline = now + request.timeLeft;
+    for (const StepSpec &it : request.spec.steps) {
+        job.steps.emplace_back(it.count);
+        job.remaining.push_back(it.count);
+    }
+    job.request = std::move(request);
+    ++m_counters.accepted;
+    const auto it = m_jobs.emplace(id, std::move(job)).first;
+    placeWaiting(id, it->second);
+}
+
+bool JobCoordinator::isReady(const Job &job, std::size_t step) const
+{
+    const std::vector<std::uint32_t> &after = job.request.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+                       [&job](std::uint32_t it) { return job.remaining[it] == 0; });
+}
+
+PlacementRequest JobCoordinator::placementFor(const Job &job, std::size_t step,
+                                              std::uint32_t count)
+{
+    const StepSpec &spec = job.request.spec.steps[step];
+    PlacementRequest request;
+    request.service = job.request.policy.service;
+    request.priority = job.request.policy.priority;
+    request.shape = spec.shape;
+    request.estimate = spec.estimate;
+    request.requiredLabel = spec.requiredLabel;
+    request.preferredRack = spec.preferredRack;
+    request.count = count;
+    return request;
+}
+
+void JobCoordinator::placeWaiting(const JobId &id, Job &job)
+{
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        if (job.remaining[i] > 0 && isReady(job, i))
+            placeStep(id, job, i);
+    }
+}
+
+void JobCoordinator::placeStep(const JobId &id, Job &job, std::size_t step)
+{
+    std::vector<std::uint32_t> waiting;
+    for (std::uint32_t i = 0; i < job.steps[step].size(); ++i) {
+        if (job.steps[step][i].state == TaskState::Waiting)
+            waiting.push_back(i);
+    }
+    if (waiting.empty())
+        return;
+    const auto shares = m_directory.place(
+        placementFor(job, step, static_cast<std::uint32_t>(waiting.size())));
+    std::size_t next = 0;
+    for (const PlacementShare &it : shares) {
+        const std::vector<std::uint32_t> indices(waiting.begin() + static_cast<long>(next),
+                                                 waiting.begin()
+                                                     + static_cast<long>(next + it.count));
+        next += it.count;
+        sendBatch(id, job, step, it.group, indices, false);
+    }
+}
+
+bool JobCoordinator::sendBatch(const JobId &id, Job &job, std::size_t step, const GroupId &group,
+                               const std::vector<std::uint32_t> &indices, bool mayHaveStarted)
+{
+    const Base::TimePoint now = m_timers.now();
+    const auto left = [now](Base::TimePoint time) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Base::toMilliseconds(time - now)));
+    };
+    const StepSpec &spec = job.request.spec.steps[step];
+    const QueuePolicy &policy = job.request.policy;
+    Wire::TaskBatch batch;
+    batch.group = group.value();
+    batch.sequence = m_sequences[group] + 1;
+    batch.job = id.value();
+    batch.step = static_cast<std::uint32_t>(step);
+    batch.payload = job.request.spec.payload;
+    batch.service = policy.service.value();
+    batch.priority = policy.priority;
+    batch.cpuMillis = spec.shape.cpuMillis;
+    batch.memoryMb = spec.shape.memoryMb;
+    batch.gpus = spec.shape.gpus;
+    batch.estimateMs = static_cast<std::uint64_t>(Base::toMilliseconds(spec.estimate));
+    batch.objectiveMs = left(job.objective);
+    batch.deadlineMs = left(job.deadline);
+    batch.ageMs = static_cast<std::uint64_t>(Base::toMilliseconds(now - job.accepted));
+    batch.requiredLabel = spec.requiredLabel;
+    batch.rack = spec.preferredRack;
+    batch.maxPerExecutor = spec.maxPerExecutor;
+    for (const std::uint32_t it : indices)
+        batch.tasks.push_back({it, job.steps[step][it].minRun, mayHaveStarted});
+    if (!m_sender.sendToOwner(group, batch))
+        return false;
+    m_sequences[group] = batch.sequence;
+    m_directory.batchSent(group, batch.sequence,
+                          placementFor(job, step, static_cast<std::uint32_t>(indices.size())));
+    for (const std::uint32_t it : indices) {
+        Task &task = job.steps[step][it];
+        task.state = TaskState::AtGroup;
+        task.group = group;
+        task.needsClaim = false;
+    }
+    return true;
+}
+
+void JobCoordinator::reportsReceived(const Wire::TaskReports &reports)
+{
+    const JobId id(reports.job);
+    const GroupId group(reports.group);
+    for (const Wire::TaskReport &it : reports.reports) {
+        const auto job = m_jobs.find(id);
+        if (job == m_jobs.end()) {
+            // The job has ended here; its tasks at the group are of no use.
+            if (it.state == static_cast<std::uint8_t>(TaskReportState::Started)) {
+                m_sender.sendToOwner(group, Wire::StopJob{reports.group, reports.job});
+                return;
+            }
+            continue;
+        }
+        reportReceived(group, job, it);
+    }
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end())
+        placeWaiting(id, job->second);
+}
+
+void JobCoordinator::reportReceived(const GroupId &group, JobMap::iterator it,
+                                    const Wire::TaskReport &report)
+{
+    Job &job = it->second;
+    if (report.step >= job.steps.size() || report.index >= job.steps[report.step].size())
+        return;
+    Task &task = job.steps[report.step][report.index];
+    if (task.state != TaskState::AtGroup || task.group != group)
+        return;
+    const auto state = static_cast<TaskReportState>(report.state);
+    // A report about an earlier run of a task that was sent to the same group again.
+    if (state != TaskReportState::Returned && report.run < task.minRun)
+        return;
+    switch (state) {
+    case TaskReportState::Started:
+        job.wasStarted = true;
+        return;
+    case TaskReportState::Returned:
+        task.state = TaskState::Waiting;
+        return;
+    case TaskReportState::Lost:
+        job.wasStarted = true;
+        task.state = TaskState::Waiting;
+        task.minRun = report.run + 1;
+        return;
+    case TaskReportState::Failed:
+        job.wasStarted = true;
+        task.state = TaskState::Waiting;
+        task.minRun = report.run + 1;
+        if (++task.failures >= job.request.policy.maxAttempts) {
+            finish(it, {JobOutcome::Failed, "taskFailed", {}});
+        }
+        return;
+    case TaskReportState::Done:
+        task.state = TaskState::Done;
+        job.wasStarted = true;
+        --job.remaining[report.step];
+        if (std::all_of(job.remaining.begin(), job.remaining.end(),
+                        [](std::uint32_t n) { return n == 0; })) {
+            finish(it, {JobOutcome::Completed, {}, {}});
+        }
+        return;
+    }
+}
+
+void JobCoordinator::stopTasks(const JobId &id, const Job &job)
+{
+    std::set<GroupId> groups;
+    for (const auto &step : job.steps) {
+        for (const Task &it : step) {
+            if (it.state == TaskState::AtGroup)
+                groups.insert(it.group);
+        }
+    }
+    for (const GroupId &it : groups)
+        m_sender.sendToOwner(it, Wire::StopJob{it.value(), id.value()});
+}
+
+void JobCoordinator::finish(JobMap::iterator it, JobResult result)
+{
+    const JobId id = it->first;
+    const Job job = std::move(it->second);
+    m_jobs.erase(it);
+    stopTasks(id, job);
+    switch (result.outcome) {
+    case JobOutcome::Completed:
+        ++m_counters.completed;
+        break;
+    case JobOutcome::Failed:
+        ++m_counters.failed;
+        break;
+    case JobOutcome::Rejected:
+        ++m_counters.rejected;
+        break;
+    case JobOutcome::TimedOut:
+        ++m_counters.timedOut;
+        break;
+    }
+    Base::log(LogLevel::Info, "jobEnded",
+              {{"job", id},
+               {"queue", job.request.policy.queue},
+               {"outcome", static_cast<int>(result.outcome)},
+               {"reason", result.reason},
+               {"elapsed", m_timers.now() - job.accepted},
+               {"objective", job.objective - job.accepted}});
+    job.callback(result);
+}
+
+void JobCoordinator::cancel(const JobId &id)
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end())
+        return;
+    const Job job = std::move(it->second);
+    m_jobs.erase(it);
+    ++m_counters.cancelled;
+    Base::log(LogLevel::Info, "jobAbandoned",
+              {{"job", id}, {"elapsed", m_timers.now() - job.accepted}});
+    stopTasks(id, job);
+}
+
+void JobCoordinator::claimTasks(const GroupId &group)
+{
+    for (auto &[id, job] : m_jobs) {
+        bool isConcerned = false;
+        for (auto &step : job.steps) {
+            for (Task &it : step) {
+                if (it.state == TaskState::AtGroup && it.group == group)
+                    isConcerned = it.needsClaim = true;
+            }
+        }
+        if (isConcerned)
+            sendClaims(id, job);
+    }
+}
+
+/// A claim that can't be sent, because the group has no owner now, is repeated by tick().
+void JobCoordinator::sendClaims(const JobId &id, Job &job)
+{
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        std::map<GroupId, std::vector<std::uint32_t>> indices;
+        for (std::uint32_t i = 0; i < job.steps[step].size(); ++i) {
+            const Task &task = job.steps[step][i];
+            if (task.state == TaskState::AtGroup && task.needsClaim)
+                indices[task.group].push_back(i);
+        }
+        for (const auto &[group, list] : indices)
+            sendBatch(id, job, step, group, list, true);
+    }
+}
+
+void JobCoordinator::tick()
+{
+    const Base::TimePoint now = m_timers.now();
+    std::vector<JobId> expired;
+    for (auto &[id, job] : m_jobs) {
+        if (now >= job.deadline) {
+            expired.push_back(id);
+        } else {
+            sendClaims(id, job);
+            placeWaiting(id, job);
+        }
+    }
+    for (const JobId &it : expired) {
+        const auto job = m_jobs.find(it);
+        EP_ASSERT(job != m_jobs.end(), continue);
+        finish(job, {JobOutcome::TimedOut, "deadlineExceeded", {}});
+    }
+}
+
+} // namespace Dispatch
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -290,12 +290,17 @@
     curl_easy_setopt(
         easy, CURLOPT_TIMEOUT_MS,
         static_cast<long>(std::max<std::int64_t>(1, Base::toMilliseconds(request.timeout))));
+    const Base::Duration connectTimeout = request.connectTimeout.count() > 0
+                                              ? request.connectTimeout
+                                              : Base::Duration(Constants::CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(Constants::CONNECT_TIMEOUT_MS.count()));
+                     static_cast<long>(Base::toMilliseconds(connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, writeCallback);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     transfer.headers = curl_slist_append(nullptr, "Content-Type: application/json");
     transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+    for (const std::string &it : request.headers)
+        transfer.headers = curl_slist_append(transfer.headers, it.c_str());
     if (!request.authorization.empty()) {
         transfer.headers = curl_slist_append(transfer.headers,
                                              ("Authorization: " + request.authorization).c_str());
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace asio {
 class io_context;
@@ -23,6 +24,9 @@
     std::string body;
     Base::Duration timeout{std::chrono::seconds(2)};
     std::string authorization; // sent if not empty
+    std::vector<std::string> headers; // further header lines, "Name: value"
+    /// Bound on opening a connection; 0 stands for the library's default.
+    Base::Duration connectTimeout{0};
     /// A request that is not idempotent is never sent a second time by the library, not even if a
     /// kept-alive connection is closed before an answer arrives.
     bool idempotent = true;
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -12,10 +12,30 @@
 
 namespace Http {
 
+/// Reports the end of each connection.
+class CloseListener
+{
+public:
+    explicit CloseListener(std::function<void(std::uint64_t)> closed)
+        : m_closed(std::move(closed))
+    {}
+
+    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: library's name
+    {
+        const auto cause = notice.cause();
+        if (m_closed && restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
+            m_closed(notice.connection_id());
+    }
+
+private:
+    std::function<void(std::uint64_t)> m_closed;
+};
+
 struct ServerTraits : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
                                                               restinio::null_logger_t>
 {
     static constexpr bool use_connection_count_limiter = true;
+    using connection_state_listener_t = CloseListener; // NOLINT: the library's name
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
@@ -56,7 +76,7 @@
     return segments;
 }
 
-static Request makeRequest(const restinio::request_handle_t &handle)
+static Request makeRequest(const ServerOptions &options, const restinio::request_handle_t &handle)
 {
     const restinio::http_request_header_t &header = handle->header();
     Request request;
@@ -67,6 +87,11 @@
         request.query.emplace(std::string(it.first), std::string(it.second));
     request.authorization = header.get_field_or(restinio::http_field::authorization, "");
     request.body = handle->body();
+    request.rawPath = {header.path().data(), header.path().size()};
+    request.host = header.get_field_or(restinio::http_field::host, "");
+    request.connection = handle->connection_id();
+    if (!options.deadlineHeader.empty())
+        request.deadline = header.get_field_or(options.deadlineHeader, "");
     return request;
 }
 
@@ -76,6 +101,8 @@
         restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
         response.status < 400 ? "OK" : "Error"));
     builder.append_header(restinio::http_field::content_type, response.contentType);
+    if (response.closeConnection)
+        builder.connection_close();
     if (response.retryAfterSeconds > 0)
         builder.append_header(restinio::http_field::retry_after,
                               std::to_string(response.retryAfterSeconds));
@@ -108,15 +135,16 @@
     close();
 }
 
-static restinio::request_handling_status_t handleRequest(const RequestHandler &handler,
+static restinio::request_handling_status_t handleRequest(const ServerOptions &options,
+                                                         const RequestHandler &handler,
                                                          const restinio::request_handle_t &handle)
 {
     Request request;
     try {
-        request = makeRequest(handle);
+        request = makeRequest(options, handle);
     } catch (const std::exception &) {
         sendResponse(handle, {400, R"({"failure":{"code":"badRequest","message":"malformed URL"}})",
-                              "application/json", 0});
+                              "application/json", 0, false});
         return restinio::request_accepted();
     }
     handler(std::move(request), [handle](Response response) {
@@ -148,8 +176,13 @@
                         .write_http_response_timelimit(Constants::READ_TIMEOUT_S)
                         .handle_request_timeout(Constants::REQUEST_HANDLING_TIMEOUT_S)
                         .separate_accept_and_create_connect(false)
-                        .request_handler([handler = m_d->handler](const auto &handle) {
-                            return handleRequest(*handler, handle);
+                        // A second message is awaited while the first is handled, since only a read
+                        // shows that the caller has left.
+                        .max_pipelined_requests(options.connectionClosed ? 2 : 1)
+                        .connection_state_listener(
+                            std::make_shared<CloseListener>(options.connectionClosed))
+                        .request_handler([handler = m_d->handler, options](const auto &handle) {
+                            return handleRequest(options, *handler, handle);
                         });
     try {
         m_d->server = std::make_unique<RestinioServer>(restinio::external_io_context(m_d->io),
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -25,6 +25,10 @@
     std::map<std::string, std::string> query;
     std::string authorization; // value of the Authorization header
     std::string body;
+    std::string rawPath; // as received, without the query
+    std::string host;    // value of the Host header
+    std::string deadline; // value of the header that ServerOptions::deadlineHeader names
+    std::uint64_t connection = 0; // tells connections of this server apart
 
     /// Value of query parameter \a name, or an empty string.
     std::string parameter(const std::string &name) const;
@@ -38,6 +42,7 @@
     std::string body;
     std::string contentType = "application/json";
     std::uint32_t retryAfterSeconds = 0; // sent if not zero
+    bool closeConnection = false;
 };
 
 struct ServerOptions
@@ -47,6 +52,10 @@
     std::uint32_t maxBodyBytes = 8U << 20;
     std::uint32_t maxHeaderBytes = 16U << 10; // of one header field
     std::uint32_t maxConnections = 1000;
+    std::string deadlineHeader; // name of a header to pass on in Request::deadline
+    /// Called when a connection has ended. If it is set, connections are watched while a request is
+    /// handled, so that a caller that leaves is noticed.
+    std::function<void(std::uint64_t connection)> connectionClosed;
 };
 
 /// Answers a request, once, now or later, from the loop's thread. Dropping it without a call leaves
--- a/src/libs/kernel/servicenames.h
+++ b/src/libs/kernel/servicenames.h
@@ -14,6 +14,8 @@
 constexpr char REQUEST_ROUTER[] = "requestrouter";
 constexpr char CALLER_GATEWAY[] = "callergateway";
 constexpr char OPERATOR_GATEWAY[] = "operatorgateway";
+constexpr char DISPATCH[] = "dispatch";
+constexpr char PLATFORM[] = "platform";
 constexpr char TELEMETRY[] = "telemetry";
 
 } // namespace Kernel::ServiceNames
--- a/src/libs/ownership/context.h
+++ b/src/libs/ownership/context.h
@@ -6,7 +6,7 @@
 #include "promisebook.h"
 
 #include <base/timers.h>
-#include <platform/table.h>
+#include <storage/table.h>
 #include <wire/peerport.h>
 
 #include <map>
@@ -29,7 +29,7 @@
     const Base::FailureDomainId domain;
     const std::vector<Base::DaemonId> peers; // the other daemons of the domain
     Base::Timers &timers;
-    Platform::Table &table;
+    Storage::Table &table;
     Wire::PeerPort &port;
     OwnershipObserver &observer;
 
@@ -43,7 +43,7 @@
     std::uint64_t takeovers = 0;    // count of writes sent that take a shard from its owner
     std::uint64_t transactions = 0; // count of transaction ids issued
 
-    Platform::Replica selfReplica() const { return {self, incarnation}; }
+    Storage::Replica selfReplica() const { return {self, incarnation}; }
     /// The sighting of \a daemon if it is connected and its heartbeat is fresh.
     const PeerSighting *freshSighting(const Base::DaemonId &daemon) const;
 };
--- a/src/libs/ownership/leaseledger.cpp
+++ b/src/libs/ownership/leaseledger.cpp
@@ -30,7 +30,7 @@
     return m_sequence;
 }
 
-void LeaseLedger::promiseReceived(const Platform::Replica &from, const Wire::LeasePromise &promise,
+void LeaseLedger::promiseReceived(const Storage::Replica &from, const Wire::LeasePromise &promise,
                                   Base::TimePoint now)
 {
     const auto sent = m_sent.find(promise.sequence);
@@ -47,25 +47,25 @@
     chain.takeovers = promise.takeovers;
 }
 
-bool LeaseLedger::isValid(const Platform::Replica &replica, Base::TimePoint now) const
+bool LeaseLedger::isValid(const Storage::Replica &replica, Base::TimePoint now) const
 {
     const Chain *chain = findChain(replica);
     return chain && now - chain->requestSent < Constants::LEASE_MS;
 }
 
-bool LeaseLedger::isUnbrokenSince(const Platform::Replica &replica, Stamp stamp,
+bool LeaseLedger::isUnbrokenSince(const Storage::Replica &replica, Stamp stamp,
                                   Base::TimePoint now) const
 {
     return isValid(replica, now) && findChain(replica)->start < stamp;
 }
 
-std::optional<Base::TimePoint> LeaseLedger::lastPromise(const Platform::Replica &replica) const
+std::optional<Base::TimePoint> LeaseLedger::lastPromise(const Storage::Replica &replica) const
 {
     const Chain *chain = findChain(replica);
     return chain ? std::optional(chain->received) : std::nullopt;
 }
 
-const LeaseLedger::Chain *LeaseLedger::findChain(const Platform::Replica &replica) const
+const LeaseLedger::Chain *LeaseLedger::findChain(const Storage::Replica &replica) const
 {
     const auto it = m_chains.find({replica.daemon, replica.incarnation});
     return it == m_chains.end() ? nullptr : &it->second;
--- a/src/libs/ownership/leaseledger.h
+++ b/src/libs/ownership/leaseledger.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <base/timers.h>
-#include <platform/shardrow.h>
+#include <storage/shardrow.h>
 #include <wire/messages.h>
 
 #include <cstdint>
@@ -31,13 +31,13 @@
     Stamp nextStamp();
     /// Starts a round of requests; returns the sequence to send.
     std::uint64_t beginRound(Base::TimePoint now);
-    void promiseReceived(const Platform::Replica &from, const Wire::LeasePromise &promise,
+    void promiseReceived(const Storage::Replica &from, const Wire::LeasePromise &promise,
                          Base::TimePoint now);
 
-    bool isValid(const Platform::Replica &replica, Base::TimePoint now) const;
+    bool isValid(const Storage::Replica &replica, Base::TimePoint now) const;
     /// Whether the promises are valid and unbroken since before \a stamp.
-    bool isUnbrokenSince(const Platform::Replica &replica, Stamp stamp, Base::TimePoint now) const;
-    std::optional<Base::TimePoint> lastPromise(const Platform::Replica &replica) const;
+    bool isUnbrokenSince(const Storage::Replica &replica, Stamp stamp, Base::TimePoint now) const;
+    std::optional<Base::TimePoint> lastPromise(const Storage::Replica &replica) const;
 
 private:
     struct Chain
@@ -48,7 +48,7 @@
         std::uint64_t takeovers = 0; // as stated by the latest promise
     };
 
-    const Chain *findChain(const Platform::Replica &replica) const;
+    const Chain *findChain(const Storage::Replica &replica) const;
 
     Stamp m_stamp;
     std::uint64_t m_sequence;
--- a/src/libs/ownership/promisebook.cpp
+++ b/src/libs/ownership/promisebook.cpp
@@ -5,7 +5,7 @@
 
 namespace Ownership::Internal {
 
-void PromiseBook::promise(const Platform::Replica &owner, Base::TimePoint now)
+void PromiseBook::promise(const Storage::Replica &owner, Base::TimePoint now)
 {
     std::erase_if(m_promisedAt, [now](const auto &it) {
         return now - it.second >= Constants::PROMISE_MEMORY_MS;
@@ -13,13 +13,13 @@
     m_promisedAt[{owner.daemon, owner.incarnation}] = now;
 }
 
-bool PromiseBook::isBound(const Platform::Replica &owner, Base::TimePoint now) const
+bool PromiseBook::isBound(const Storage::Replica &owner, Base::TimePoint now) const
 {
     const std::optional<Base::TimePoint> promisedAt = lastPromise(owner);
     return promisedAt && now - *promisedAt < Constants::PROMISE_MS;
 }
 
-std::optional<Base::TimePoint> PromiseBook::lastPromise(const Platform::Replica &owner) const
+std::optional<Base::TimePoint> PromiseBook::lastPromise(const Storage::Replica &owner) const
 {
     const auto it = m_promisedAt.find({owner.daemon, owner.incarnation});
     return it == m_promisedAt.end() ? std::nullopt : std::optional(it->second);
--- a/src/libs/ownership/promisebook.h
+++ b/src/libs/ownership/promisebook.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <base/timers.h>
-#include <platform/shardrow.h>
+#include <storage/shardrow.h>
 
 #include <map>
 #include <optional>
@@ -15,11 +15,11 @@
 class PromiseBook
 {
 public:
-    void promise(const Platform::Replica &owner, Base::TimePoint now);
+    void promise(const Storage::Replica &owner, Base::TimePoint now);
     /// Whether a promise forbids a takeover write now.
-    bool isBound(const Platform::Replica &owner, Base::TimePoint now) const;
+    bool isBound(const Storage::Replica &owner, Base::TimePoint now) const;
     /// When the latest promise was given; empty if longer ago than Constants::PROMISE_MEMORY_MS.
-    std::optional<Base::TimePoint> lastPromise(const Platform::Replica &owner) const;
+    std::optional<Base::TimePoint> lastPromise(const Storage::Replica &owner) const;
 
 private:
     std::map<std::pair<Base::DaemonId, Base::Incarnation>, Base::TimePoint> m_promisedAt;
--- a/src/libs/ownership/rowwriter.cpp
+++ b/src/libs/ownership/rowwriter.cpp
@@ -34,7 +34,7 @@
     return "unknown";
 }
 
-RowWriter::RowWriter(Platform::Table &table, Base::Timers &timers, std::string key,
+RowWriter::RowWriter(Storage::Table &table, Base::Timers &timers, std::string key,
                      Resolved resolved)
     : m_table(table)
     , m_timers(timers)
@@ -64,7 +64,7 @@
 {
     m_inFlight = true;
     m_table.compareAndSet(
-        {m_key, Platform::encodeShardRow(m_write->target), m_write->expectedVersion, m_transaction},
+        {m_key, Storage::encodeShardRow(m_write->target), m_write->expectedVersion, m_transaction},
         [this, alive = std::weak_ptr(m_alive),
          transaction = m_transaction](const absl::Status &status, std::uint64_t version) {
             // A read may have resolved the write meanwhile.
@@ -92,7 +92,7 @@
     m_backoff = std::min<Base::Duration>(2 * m_backoff, Constants::TABLE_BACKOFF_MAX_MS);
 }
 
-void RowWriter::observe(const Platform::Row &row)
+void RowWriter::observe(const Storage::Row &row)
 {
     if (!m_write || row.version <= m_write->expectedVersion)
         return;
--- a/src/libs/ownership/rowwriter.h
+++ b/src/libs/ownership/rowwriter.h
@@ -5,8 +5,8 @@
 
 #include <absl/status/status.h>
 #include <base/timers.h>
-#include <platform/shardrow.h>
-#include <platform/table.h>
+#include <storage/shardrow.h>
+#include <storage/table.h>
 
 #include <cstdint>
 #include <functional>
@@ -24,7 +24,7 @@
 struct RowWrite
 {
     WriteKind kind = WriteKind::Create;
-    Platform::ShardRow target;
+    Storage::ShardRow target;
     std::uint64_t expectedVersion = 0;
     /// The owner of the row that the write replaces; empty for a new row.
     Base::DaemonId previousOwner;
@@ -43,7 +43,7 @@
     using Resolved =
         std::function<void(RowWrite write, const absl::Status &, std::uint64_t version, Stamp)>;
 
-    RowWriter(Platform::Table &table, Base::Timers &timers, std::string key, Resolved resolved);
+    RowWriter(Storage::Table &table, Base::Timers &timers, std::string key, Resolved resolved);
 
     bool isPending() const { return m_write.has_value(); }
     /// The pending write; only valid while isPending().
@@ -56,14 +56,14 @@
     /// Repeats the write if its result is unknown and the back-off has passed.
     void repeatIfDue();
     /// Resolves the write if \a row shows that it has taken effect or never will.
-    void observe(const Platform::Row &row);
+    void observe(const Storage::Row &row);
 
 private:
     void attempt();
     void replied(const absl::Status &status, std::uint64_t version);
     void resolve(const absl::Status &status, std::uint64_t version);
 
-    Platform::Table &m_table;
+    Storage::Table &m_table;
     Base::Timers &m_timers;
     const std::string m_key;
     Resolved m_resolved;
--- a/src/libs/ownership/shard.cpp
+++ b/src/libs/ownership/shard.cpp
@@ -27,7 +27,7 @@
 Shard::Shard(Context &context, Base::ShardIndex index)
     : m_context(context)
     , m_index(index)
-    , m_key(Platform::shardRowKey({context.domain, index}))
+    , m_key(Storage::shardRowKey({context.domain, index}))
     , m_backoff(Constants::TABLE_BACKOFF_MIN_MS)
     , m_writer(context.table, context.timers, m_key,
                [this](const RowWrite &write, const absl::Status &status, std::uint64_t version,
@@ -38,17 +38,17 @@
 {
     if (!m_row || m_row->owner != m_context.self)
         return false;
-    const Platform::Replica *self = m_row->findReplica(m_context.self);
+    const Storage::Replica *self = m_row->findReplica(m_context.self);
     return self && self->incarnation == m_context.incarnation;
 }
 
-std::vector<Platform::Replica> Shard::requiredReplicas() const
+std::vector<Storage::Replica> Shard::requiredReplicas() const
 {
-    std::vector<Platform::Replica> result;
+    std::vector<Storage::Replica> result;
     if (!isOwner())
         return result;
-    const auto add = [&](const Platform::ShardRow &row) {
-        for (const Platform::Replica &it : row.replicas) {
+    const auto add = [&](const Storage::ShardRow &row) {
+        for (const Storage::Replica &it : row.replicas) {
             if (it.daemon != m_context.self && std::ranges::find(result, it) == result.end())
                 result.push_back(it);
         }
@@ -60,9 +60,9 @@
     return result;
 }
 
-std::vector<Platform::Replica> Shard::requiredAcknowledgements() const
+std::vector<Storage::Replica> Shard::requiredAcknowledgements() const
 {
-    std::vector<Platform::Replica> result = requiredReplicas();
+    std::vector<Storage::Replica> result = requiredReplicas();
     if (m_join && std::ranges::find(result, m_join->replica) == result.end())
         result.push_back(m_join->replica);
     return result;
@@ -71,7 +71,7 @@
 std::vector<Base::DaemonId> Shard::leaseRequestTargets() const
 {
     std::vector<Base::DaemonId> result;
-    for (const Platform::Replica &it : requiredAcknowledgements())
+    for (const Storage::Replica &it : requiredAcknowledgements())
         result.push_back(it.daemon);
     return result;
 }
@@ -86,7 +86,7 @@
         return false;
     }
     const Base::TimePoint now = m_context.timers.now();
-    return std::ranges::all_of(requiredReplicas(), [&](const Platform::Replica &it) {
+    return std::ranges::all_of(requiredReplicas(), [&](const Storage::Replica &it) {
         return m_context.ledger.isUnbrokenSince(it, m_rowStamp, now);
     });
 }
@@ -119,7 +119,7 @@
                    {"complete", static_cast<int>(hasCompleteKnowledge())}});
         m_context.observer.shardAcquired(m_index, m_row->epoch, hasCompleteKnowledge());
     }
-    std::vector<Platform::Replica> replicas = requiredAcknowledgements();
+    std::vector<Storage::Replica> replicas = requiredAcknowledgements();
     if (replicas != m_reportedReplicas) {
         m_reportedReplicas = std::move(replicas);
         m_context.observer.requiredReplicasChanged(m_index);
@@ -162,8 +162,8 @@
     if (epoch < highestKnownEpoch())
         return false;
     if (m_row && epoch == m_row->epoch) {
-        const Platform::Replica *owner = m_row->findReplica(m_row->owner);
-        return owner && *owner == Platform::Replica{from.daemon, from.incarnation};
+        const Storage::Replica *owner = m_row->findReplica(m_row->owner);
+        return owner && *owner == Storage::Replica{from.daemon, from.incarnation};
     }
     ownerSeen(epoch, from.daemon);
     return true;
@@ -196,13 +196,13 @@
     step();
 }
 
-void Shard::addReplica(const Platform::Replica &replica, Callback callback)
+void Shard::addReplica(const Storage::Replica &replica, Callback callback)
 {
     if (!holdsLease()) {
         callback(makeFailure(FailureCode::NoLease, "the shard is not in service here"));
         return;
     }
-    const Platform::Replica *listed = m_row->findReplica(replica.daemon);
+    const Storage::Replica *listed = m_row->findReplica(replica.daemon);
     if (listed && *listed == replica) {
         callback(absl::OkStatus());
         return;
@@ -225,7 +225,7 @@
     } else if (m_writer.isPending()) {
         callback(makeFailure(FailureCode::Overloaded, "another change of the row is in progress"));
     } else {
-        Platform::ShardRow target = *m_row;
+        Storage::ShardRow target = *m_row;
         target.owner = to;
         target.epoch = nextEpoch();
         write(WriteKind::HandOver, std::move(target), std::move(callback));
@@ -251,18 +251,18 @@
     m_readWanted = false;
     m_context.table.read(m_key, [this, alive = std::weak_ptr(m_alive),
                                  stamp = m_context.ledger.nextStamp()](const absl::Status &status,
-                                                                       const Platform::Row &row) {
+                                                                       const Storage::Row &row) {
         if (!alive.expired())
             readFinished(status, row, stamp);
     });
 }
 
-void Shard::readFinished(const absl::Status &status, const Platform::Row &row, Stamp stamp)
+void Shard::readFinished(const absl::Status &status, const Storage::Row &row, Stamp stamp)
 {
     m_reading = false;
-    std::optional<Platform::ShardRow> decoded;
+    std::optional<Storage::ShardRow> decoded;
     if (status.ok() && row.version > 0)
-        decoded = Platform::decodeShardRow(row.value);
+        decoded = Storage::decodeShardRow(row.value);
     if (!status.ok() || (row.version > 0 && !decoded)) {
         Base::log(LogLevel::Warning, "shardRowUnreadable",
                   {{"shard", m_index},
@@ -293,7 +293,7 @@
     return m_context.timers.now() - m_confirmedAt <= Constants::ROW_FRESH_MS;
 }
 
-void Shard::adopt(std::optional<Platform::ShardRow> row, std::uint64_t version, Stamp stamp)
+void Shard::adopt(std::optional<Storage::ShardRow> row, std::uint64_t version, Stamp stamp)
 {
     if (m_rowKnown && version < m_version)
         return; // Overtaken by a later row.
@@ -325,7 +325,7 @@
     return std::max(m_highestEpoch, m_row ? m_row->epoch : Base::Epoch()).next();
 }
 
-void Shard::write(WriteKind kind, Platform::ShardRow target, Callback done)
+void Shard::write(WriteKind kind, Storage::ShardRow target, Callback done)
 {
     const Base::DaemonId previousOwner = m_row ? m_row->owner : Base::DaemonId();
     Base::log(LogLevel::Info, "shardRowWrite",
--- a/src/libs/ownership/shard.h
+++ b/src/libs/ownership/shard.h
@@ -6,7 +6,7 @@
 
 #include <absl/status/status.h>
 #include <base/ids.h>
-#include <platform/shardrow.h>
+#include <storage/shardrow.h>
 
 #include <functional>
 #include <map>
@@ -43,10 +43,10 @@
     /// Whether the row names this incarnation as the owner.
     bool isOwner() const;
     /// Replicas whose promises are required now.
-    std::vector<Platform::Replica> requiredReplicas() const;
+    std::vector<Storage::Replica> requiredReplicas() const;
     /// Replicas whose acknowledgements are required now: those above and the one that is joining,
     /// as the copy that it was sent does not contain later records.
-    std::vector<Platform::Replica> requiredAcknowledgements() const;
+    std::vector<Storage::Replica> requiredAcknowledgements() const;
     /// Daemons whose promises are needed now or are about to be.
     std::vector<Base::DaemonId> leaseRequestTargets() const;
     Base::Epoch highestKnownEpoch() const;
@@ -60,14 +60,14 @@
     void ownerSeen(Base::Epoch epoch, const Base::DaemonId &owner);
     void ownershipRefused(Base::Epoch known);
     void handOverReceived();
-    void addReplica(const Platform::Replica &replica, Callback callback);
+    void addReplica(const Storage::Replica &replica, Callback callback);
     void handOver(const Base::DaemonId &to, Callback callback);
     void recover(Callback callback);
 
 private:
     struct Join
     {
-        Platform::Replica replica;
+        Storage::Replica replica;
         Base::TimePoint deadline;
         Callback callback;
     };
@@ -77,12 +77,12 @@
     void stopServing(std::string_view cause);
 
     void read();
-    void readFinished(const absl::Status &status, const Platform::Row &row, Stamp stamp);
-    void adopt(std::optional<Platform::ShardRow> row, std::uint64_t version, Stamp stamp);
+    void readFinished(const absl::Status &status, const Storage::Row &row, Stamp stamp);
+    void adopt(std::optional<Storage::ShardRow> row, std::uint64_t version, Stamp stamp);
     void backOff();
     bool isRowFresh() const;
 
-    void write(WriteKind kind, Platform::ShardRow target, Callback done = {});
+    void write(WriteKind kind, Storage::ShardRow target, Callback done = {});
     void writeResolved(const RowWrite &write, const absl::Status &status, std::uint64_t version,
                        Stamp stamp);
     Base::Epoch nextEpoch() const;
@@ -100,8 +100,8 @@
     const Base::ShardIndex m_index;
     const std::string m_key;
 
-    bool m_rowKnown = false;                 // the row was read since the start
-    std::optional<Platform::ShardRow> m_row; // empty if unknown or missing
+    bool m_rowKnown = false;                // the row was read since the start
+    std::optional<Storage::ShardRow> m_row; // empty if unknown or missing
     std::uint64_t m_version = 0;
     Stamp m_rowStamp;                // the row was at m_version at some time after this
     Base::TimePoint m_confirmedAt;   // last successful read or write
@@ -121,7 +121,7 @@
     std::optional<Base::Epoch> m_incompleteEpoch;
     Base::Epoch m_highestEpoch;
     Base::DaemonId m_highestOwner;
-    std::vector<Platform::Replica> m_reportedReplicas; // as last told to the observer
+    std::vector<Storage::Replica> m_reportedReplicas; // as last told to the observer
 
     std::optional<Join> m_join;
     std::map<Base::DaemonId, Base::TimePoint> m_joinAnnouncedAt;
--- a/src/libs/ownership/shardownership.cpp
+++ b/src/libs/ownership/shardownership.cpp
@@ -21,7 +21,7 @@
 
 struct ShardOwnership::Private
 {
-    Private(OwnershipSettings settings, Base::Timers &timers, Platform::Table &table,
+    Private(OwnershipSettings settings, Base::Timers &timers, Storage::Table &table,
             Wire::PeerPort &port, OwnershipObserver &observer);
 
     Shard *findShard(Base::ShardIndex shard);
@@ -45,7 +45,7 @@
 };
 
 ShardOwnership::Private::Private(OwnershipSettings settings, Base::Timers &timers,
-                                 Platform::Table &table, Wire::PeerPort &port,
+                                 Storage::Table &table, Wire::PeerPort &port,
                                  OwnershipObserver &observer)
     : context{settings.self,
               settings.incarnation,
@@ -152,7 +152,7 @@
 }
 
 ShardOwnership::ShardOwnership(OwnershipSettings settings, Base::Timers &timers,
-                               Platform::Table &table, Wire::PeerPort &port,
+                               Storage::Table &table, Wire::PeerPort &port,
                                OwnershipObserver &observer)
     : m_d(std::make_unique<Private>(std::move(settings), timers, table, port, observer))
 {}
@@ -213,7 +213,7 @@
 {
     std::set<Base::DaemonId> daemons; // Two incarnations of one daemon may both be required.
     if (const Shard *it = m_d->findShard(shard)) {
-        for (const Platform::Replica &replica : it->requiredAcknowledgements())
+        for (const Storage::Replica &replica : it->requiredAcknowledgements())
             daemons.insert(replica.daemon);
     }
     return {daemons.begin(), daemons.end()};
--- a/src/libs/ownership/shardownership.h
+++ b/src/libs/ownership/shardownership.h
@@ -6,7 +6,7 @@
 #include <absl/status/status.h>
 #include <base/ids.h>
 #include <base/timers.h>
-#include <platform/table.h>
+#include <storage/table.h>
 #include <wire/peerport.h>
 
 #include <cstddef>
@@ -44,7 +44,7 @@
     /// Called with OK or a typed failure, possibly from within the call that it was given to.
     using Callback = std::function<void(const absl::Status &)>;
 
-    ShardOwnership(OwnershipSettings settings, Base::Timers &timers, Platform::Table &table,
+    ShardOwnership(OwnershipSettings settings, Base::Timers &timers, Storage::Table &table,
                    Wire::PeerPort &port, OwnershipObserver &observer);
     ~ShardOwnership() override;
 
--- a/src/libs/ownership/shardsteps.cpp
+++ b/src/libs/ownership/shardsteps.cpp
@@ -81,8 +81,8 @@
     if (stepRemoval())
         return;
     if (!m_serving) {
-        const std::vector<Platform::Replica> required = requiredReplicas();
-        const bool promised = std::ranges::all_of(required, [this](const Platform::Replica &it) {
+        const std::vector<Storage::Replica> required = requiredReplicas();
+        const bool promised = std::ranges::all_of(required, [this](const Storage::Replica &it) {
             return m_context.ledger.isValid(it, m_context.timers.now());
         });
         // A replica may have taken over between two promises: only a read after the promises shows
@@ -98,8 +98,8 @@
 bool Shard::stepRemoval()
 {
     const Base::TimePoint now = m_context.timers.now();
-    Platform::ShardRow target = *m_row;
-    std::erase_if(target.replicas, [&](const Platform::Replica &it) {
+    Storage::ShardRow target = *m_row;
+    std::erase_if(target.replicas, [&](const Storage::Replica &it) {
         if (it.daemon == m_context.self)
             return false;
         const auto sighting = m_context.sightings.find(it.daemon);
@@ -129,8 +129,8 @@
         read();
         return true;
     }
-    Platform::ShardRow target = *m_row;
-    std::erase_if(target.replicas, [this](const Platform::Replica &it) {
+    Storage::ShardRow target = *m_row;
+    std::erase_if(target.replicas, [this](const Storage::Replica &it) {
         return it.daemon == m_join->replica.daemon;
     });
     if (target.replicas.size() >= Constants::MAX_REPLICAS) {
@@ -159,7 +159,7 @@
     std::vector<Base::DaemonId> wanted;
     for (const Base::DaemonId &it : m_context.peers) {
         const PeerSighting *sighting = m_context.freshSighting(it);
-        const Platform::Replica *listed = m_row->findReplica(it);
+        const Storage::Replica *listed = m_row->findReplica(it);
         if (sighting && !sighting->draining
             && !(listed && listed->incarnation == sighting->incarnation)) {
             wanted.push_back(it);
@@ -184,13 +184,12 @@
 void Shard::stepCandidate()
 {
     const Base::TimePoint now = m_context.timers.now();
-    const Platform::Replica *owner = m_row->findReplica(m_row->owner);
+    const Storage::Replica *owner = m_row->findReplica(m_row->owner);
     EP_ASSERT(owner, return );
     if (m_context.promises.isBound(*owner, now))
         return;
     const std::optional<Base::TimePoint> promisedAt = m_context.promises.lastPromise(*owner);
-    const auto self =
-        std::ranges::find(m_row->replicas, m_context.self, &Platform::Replica::daemon);
+    const auto self = std::ranges::find(m_row->replicas, m_context.self, &Storage::Replica::daemon);
     const Base::Duration readAge = now - m_confirmedAt;
     if (self == m_row->replicas.end()) {
         // A daemon that has promised to the owner may have been added without its knowledge.
@@ -230,7 +229,7 @@
 void Shard::stepRecover()
 {
     const Callback callback = std::exchange(m_recover, nullptr);
-    const Platform::Replica *owner = m_row ? m_row->findReplica(m_row->owner) : nullptr;
+    const Storage::Replica *owner = m_row ? m_row->findReplica(m_row->owner) : nullptr;
     if (m_serving || (owner && m_context.promises.isBound(*owner, m_context.timers.now()))) {
         callback(makeFailure(FailureCode::BadRequest, "the owner of the shard is alive"));
         return;
--- a/src/libs/platform/membershipsource.h
+++ b/src/libs/storage/membershipsource.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 enum class HostState { Live, Leaving, Dead };
 
@@ -29,4 +29,4 @@
     virtual void fetchHosts(Callback callback) = 0;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/shardrow.cpp
+++ b/src/libs/storage/shardrow.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace Platform {
+namespace Storage {
 
 const Replica *ShardRow::findReplica(const Base::DaemonId &daemon) const
 {
@@ -51,4 +51,4 @@
     }
 }
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/shardrow.h
+++ b/src/libs/storage/shardrow.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 /// A daemon that held every record of the shard when the row was written.
 struct Replica
@@ -36,4 +36,4 @@
 /// Returns nothing for text that is not a shard row.
 std::optional<ShardRow> decodeShardRow(std::string_view text);
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/table.h
+++ b/src/libs/storage/table.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace Platform {
+namespace Storage {
 
 /// A row as read from the table. Versions grow by one with each write; 0 means that no row exists.
 struct Row
@@ -63,4 +63,4 @@
     virtual void put(std::string_view key, std::string body, PutCallback callback) = 0;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -148,9 +148,147 @@
     MSGPACK_DEFINE(revision, body)
 };
 
+/// A claim to order the executors of a group, as its sender knows it.
+struct GroupClaim
+{
+    std::string group;
+    std::string owner; // daemon id
+    std::uint64_t token = 0;
+    std::uint64_t ageMs = 0; // since the sender heard from the owner, directly or through others
+
+    MSGPACK_DEFINE(group, owner, token, ageMs)
+};
+
+/// Sent periodically to every daemon that dispatches tasks.
+struct DispatchState
+{
+    bool draining = false;
+    std::uint64_t heardAgoMs = 0; // since the sender heard from the recipient
+    std::uint64_t connection = 0; // how often the sender has connected to the recipient
+    std::vector<GroupClaim> claims;
+
+    MSGPACK_DEFINE(draining, heardAgoMs, connection, claims)
+};
+
+/// Free room of one executor.
+struct ExecutorLoad
+{
+    std::string service;
+    std::string rack;
+    std::string kind; // label of the executor's kind
+    std::uint32_t freeCpuMillis = 0;
+    std::uint32_t freeMemoryMb = 0;
+    std::uint32_t freeGpus = 0;
+    std::uint32_t cpuMillis = 0;      // whole capacity
+    std::uint32_t speedPercent = 100; // relative to the mean executor
+
+    MSGPACK_DEFINE(service, rack, kind, freeCpuMillis, freeMemoryMb, freeGpus, cpuMillis,
+                   speedPercent)
+};
+
+/// Work that waits in a group for one service and priority.
+struct QueueLoad
+{
+    std::string service;
+    std::uint32_t priority = 0;
+    std::uint64_t cpuMillisSeconds = 0; // thousandths of a core times seconds, as estimated
+
+    MSGPACK_DEFINE(service, priority, cpuMillisSeconds)
+};
+
+/// Load of a group, from its owner to all daemons. A report replaces the one before.
+struct GroupLoad
+{
+    std::string group;
+    std::uint64_t token = 0;
+    std::uint64_t batchesSeen = 0; // sequence of the recipient's last batch that is included
+    std::vector<ExecutorLoad> executors;
+    std::vector<QueueLoad> queues;
+
+    MSGPACK_DEFINE(group, token, batchesSeen, executors, queues)
+};
+
+/// One task of a TaskBatch.
+struct BatchTask
+{
+    std::uint32_t index = 0;
+    std::uint64_t minRun = 1; // the lowest run number that may be used
+    bool mayHaveStarted = false; // an earlier owner of the group may have started it
+
+    MSGPACK_DEFINE(index, minRun, mayHaveStarted)
+};
+
+/// Tasks of one step, from the daemon that holds the job to the owner of a group.
+struct TaskBatch
+{
+    std::string group;
+    std::uint64_t sequence = 0; // rises with each batch from this sender to this group
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::string payload;
+    std::string service;
+    std::uint32_t priority = 0;
+    std::uint32_t cpuMillis = 0;
+    std::uint32_t memoryMb = 0;
+    std::uint32_t gpus = 0;
+    std::uint64_t estimateMs = 0;
+    std::uint64_t objectiveMs = 0; // left until the job's objective; 0 if it has passed
+    std::uint64_t deadlineMs = 0;  // left until nobody waits for the job
+    std::uint64_t ageMs = 0;       // since the job was accepted
+    std::string requiredLabel;
+    std::string rack; // preferred
+    std::uint32_t maxPerExecutor = 0; // 0: no bound
+    std::vector<BatchTask> tasks;
+
+    MSGPACK_DEFINE(group, sequence, job, occurrence, step, payload, service, priority, cpuMillis,
+                   memoryMb, gpus, estimateMs, objectiveMs, deadlineMs, ageMs, requiredLabel, rack,
+                   maxPerExecutor, tasks)
+};
+
+enum class TaskReportState : std::uint8_t {
+    Started = 0,
+    Done = 1,
+    Failed = 2,   // the run ended as failed, which counts as an attempt
+    Lost = 3,     // the run ended or was stopped without a result
+    Returned = 4, // the task was never started by this owner and never will be
+};
+
+struct TaskReport
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint64_t run = 0;
+    std::uint8_t state = 0; // a TaskReportState
+    std::string executor;
+
+    MSGPACK_DEFINE(occurrence, step, index, run, state, executor)
+};
+
+/// What became of tasks of one job, from the owner of a group to the daemon that holds the job.
+struct TaskReports
+{
+    std::string group;
+    std::string job;
+    std::vector<TaskReport> reports;
+
+    MSGPACK_DEFINE(group, job, reports)
+};
+
+/// Drops the waiting tasks of a job and stops its running ones.
+struct StopJob
+{
+    std::string group;
+    std::string job;
+
+    MSGPACK_DEFINE(group, job)
+};
+
 /// The order of the alternatives is the type number on the wire; append only.
 using Message =
     std::variant<Hello, Heartbeat, LeaseRequest, LeasePromise, Replicate, ReplicateAck, HandOver,
-                 Forward, ForwardReply, SlotLoan, ManifestFetch, ManifestBody>;
+                 Forward, ForwardReply, SlotLoan, ManifestFetch, ManifestBody, DispatchState, GroupLoad,
+                 TaskBatch, TaskReports, StopJob>;
 
 } // namespace Wire
--- a/src/libs/wire/peerport.h
+++ b/src/libs/wire/peerport.h
@@ -35,6 +35,8 @@
     virtual ~PeerListener() = default;
 
     virtual void peerMessageReceived(const PeerIdentity &from, const Message &message) = 0;
+    /// Messages to the peer can be sent from now on. Earlier ones may have been lost.
+    virtual void peerConnected(const PeerIdentity &) {}
     virtual void peerDisconnected(const PeerIdentity &) {}
 };
 
--- a/src/plugins/jobservice/jobservice.cpp
+++ b/src/plugins/jobservice/jobservice.cpp
@@ -148,7 +148,7 @@
     for (const auto &[id, upstream] : m_manifest->upstreams) {
         if (upstream.domain != m_runtime.settings.domain)
             continue;
-        const bool isLive = m_membership->hostState(upstream.host) == Platform::HostState::Live;
+        const bool isLive = m_membership->hostState(upstream.host) == Storage::HostState::Live;
         availability[id] = {m_shares->usableSlots(id), !isLive};
     }
     m_scheduler->setAvailability(availability);
--- a/src/plugins/manifestservice/manifestservice.cpp
+++ b/src/plugins/manifestservice/manifestservice.cpp
@@ -41,8 +41,8 @@
 
 absl::Status ManifestHolder::start(const Kernel::ServiceRegistry &registry)
 {
-    m_table = registry.find<Platform::Table>(Kernel::ServiceNames::PLATFORM_CLIENT);
-    m_objects = registry.find<Platform::ObjectStore>(Kernel::ServiceNames::PLATFORM_CLIENT);
+    m_table = registry.find<Storage::Table>(Kernel::ServiceNames::PLATFORM_CLIENT);
+    m_objects = registry.find<Storage::ObjectStore>(Kernel::ServiceNames::PLATFORM_CLIENT);
     m_peers = registry.find<Wire::PeerPort>(Kernel::ServiceNames::PEER_LINK);
     m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
     EP_ASSERT(m_table && m_objects && m_peers && m_telemetry,
@@ -88,7 +88,7 @@
 {
     m_pollTimer =
         m_runtime.timers.schedule(m_current ? POLL_INTERVAL_MS : FIRST_POLL_MS, [this] { poll(); });
-    m_table->read(HEAD_KEY, [this](const absl::Status &status, const Platform::Row &row) {
+    m_table->read(HEAD_KEY, [this](const absl::Status &status, const Storage::Row &row) {
         // An empty table says nothing of a manifest that a peer may have.
         if (status.ok() && row.version > 0)
             headReceived(row);
@@ -103,7 +103,7 @@
     return Manifest::parseManifest(body, faults).has_value();
 }
 
-void ManifestHolder::headReceived(const Platform::Row &row)
+void ManifestHolder::headReceived(const Storage::Row &row)
 {
     Head head;
     if (!decodeHead(row.value, head)) {
@@ -171,12 +171,12 @@
     apply(m_peerBody, m_peerRevision);
 }
 
-void ManifestHolder::verifyHead(const Platform::Row &row, const std::string &body,
+void ManifestHolder::verifyHead(const Storage::Row &row, const std::string &body,
                                 Base::Revision revision)
 {
     // A restarted daemon has forgotten which revision it had, and a read may be served from an old
     // copy. A write on the condition of the version that was read succeeds only if that is current.
-    Platform::ConditionalWrite write{HEAD_KEY, row.value, row.version, nextTransaction()};
+    Storage::ConditionalWrite write{HEAD_KEY, row.value, row.version, nextTransaction()};
     m_table->compareAndSet(write,
                            [this, body, revision](const absl::Status &status, std::uint64_t) {
                                if (!status.ok())
@@ -264,7 +264,7 @@
 void ManifestHolder::retryAfterConflict(HeadWrite head)
 {
     m_table->read(HEAD_KEY, [this, head = std::move(head)](const absl::Status &status,
-                                                           const Platform::Row &row) mutable {
+                                                           const Storage::Row &row) mutable {
         if (!status.ok()) {
             reportSubmit(head, status);
             return;
--- a/src/plugins/manifestservice/manifestservice.h
+++ b/src/plugins/manifestservice/manifestservice.h
@@ -4,9 +4,9 @@
 #include <base/ids.h>
 #include <kernel/service.h>
 #include <manifest/manifest.h>
-#include <platform/table.h>
 #include <settings/faultlist.h>
 #include <settings/runtime.h>
+#include <storage/table.h>
 #include <telemetry/telemetryservice.h>
 #include <wire/peerport.h>
 
@@ -67,7 +67,7 @@
     /// A submission on its way into the table.
     struct HeadWrite
     {
-        Platform::ConditionalWrite write;
+        Storage::ConditionalWrite write;
         Base::Revision parent;
         Base::Revision revision;
         std::string body;
@@ -78,13 +78,13 @@
 
     static bool decodeHead(const std::string &text, Head &head);
     void poll();
-    void headReceived(const Platform::Row &row);
+    void headReceived(const Storage::Row &row);
     /// Applies \a body, or keeps it until the first choice if none is in force yet.
     void bodyReceived(const std::string &body, Base::Revision announced);
     /// Takes what peers have sent, if the table can't tell more.
     void chooseFirst();
     /// Applies the first manifest if \a row is not an old copy of the table.
-    void verifyHead(const Platform::Row &row, const std::string &body, Base::Revision revision);
+    void verifyHead(const Storage::Row &row, const std::string &body, Base::Revision revision);
     std::string nextTransaction();
     bool apply(const std::string &body, Base::Revision announced);
     void record(EventLog::EventType type, Base::Revision revision);
@@ -95,8 +95,8 @@
     void reportSubmit(const HeadWrite &head, const absl::Status &status);
 
     const Settings::Runtime m_runtime;
-    Platform::Table *m_table = nullptr;
-    Platform::ObjectStore *m_objects = nullptr;
+    Storage::Table *m_table = nullptr;
+    Storage::ObjectStore *m_objects = nullptr;
     Wire::PeerPort *m_peers = nullptr;
     Telemetry::TelemetryService *m_telemetry = nullptr;
     Snapshot m_current; // its revision never decreases
--- a/src/plugins/membership/membershipservice.cpp
+++ b/src/plugins/membership/membershipservice.cpp
@@ -20,7 +20,7 @@
 
 absl::Status MembershipService::start(const Kernel::ServiceRegistry &registry)
 {
-    m_source = registry.find<Platform::MembershipSource>(Kernel::ServiceNames::PLATFORM_CLIENT);
+    m_source = registry.find<Storage::MembershipSource>(Kernel::ServiceNames::PLATFORM_CLIENT);
     m_telemetry = registry.find<Telemetry::TelemetryService>(Kernel::ServiceNames::TELEMETRY);
     EP_ASSERT(m_source && m_telemetry, return Base::makeFailure(Base::FailureCode::Internal,
                                                                 "membership: missing service"));
@@ -44,11 +44,11 @@
 {
     m_timer = m_runtime.timers.schedule(POLL_INTERVAL_MS, [this] { poll(); });
     m_source->fetchHosts(
-        [this](const absl::Status &status, const std::vector<Platform::HostEntry> &entries) {
+        [this](const absl::Status &status, const std::vector<Storage::HostEntry> &entries) {
             if (!status.ok())
                 return;
-            std::map<std::string, Platform::HostState> hosts;
-            for (const Platform::HostEntry &it : entries)
+            std::map<std::string, Storage::HostState> hosts;
+            for (const Storage::HostEntry &it : entries)
                 hosts[it.host] = it.state;
             m_receivedAt = m_runtime.timers.now();
             if (hosts == m_hosts)
@@ -64,10 +64,10 @@
         });
 }
 
-Platform::HostState MembershipService::hostState(const std::string &host) const
+Storage::HostState MembershipService::hostState(const std::string &host) const
 {
     const auto it = m_hosts.find(host);
-    return it == m_hosts.end() ? Platform::HostState::Live : it->second;
+    return it == m_hosts.end() ? Storage::HostState::Live : it->second;
 }
 
 std::optional<Base::Duration> MembershipService::age() const
--- a/src/plugins/membership/membershipservice.h
+++ b/src/plugins/membership/membershipservice.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <kernel/service.h>
-#include <platform/membershipsource.h>
 #include <settings/runtime.h>
+#include <storage/membershipsource.h>
 #include <telemetry/telemetryservice.h>
 
 #include <functional>
@@ -26,7 +26,7 @@
     void stop() override;
 
     /// Hosts that the list does not name are live.
-    Platform::HostState hostState(const std::string &host) const;
+    Storage::HostState hostState(const std::string &host) const;
     /// Time since the last list; nothing before the first one.
     std::optional<Base::Duration> age() const;
     /// Called after each list that differs from the one before.
@@ -36,9 +36,9 @@
     void poll();
 
     const Settings::Runtime m_runtime;
-    Platform::MembershipSource *m_source = nullptr;
+    Storage::MembershipSource *m_source = nullptr;
     Telemetry::TelemetryService *m_telemetry = nullptr;
-    std::map<std::string, Platform::HostState> m_hosts;
+    std::map<std::string, Storage::HostState> m_hosts;
     std::optional<Base::TimePoint> m_receivedAt;
     std::vector<Observer> m_observers;
     Base::TimerId m_timer;
--- a/src/plugins/ownershipservice/ownershipservice.cpp
+++ b/src/plugins/ownershipservice/ownershipservice.cpp
@@ -25,7 +25,7 @@
     auto *link = registry.find<PeerLink::PeerLinkService>(Names::PEER_LINK);
     auto *manifest = registry.find<ManifestService::ManifestHolder>(Names::MANIFEST);
     auto *cluster = registry.find<Cluster::ClusterView>(Names::CLUSTER);
-    m_table = registry.find<Platform::Table>(Names::PLATFORM_CLIENT);
+    m_table = registry.find<Storage::Table>(Names::PLATFORM_CLIENT);
     EP_ASSERT(link && manifest && cluster && m_table,
               return makeFailure(FailureCode::Internal, "ownership: missing service"));
     m_port = link;
--- a/src/plugins/ownershipservice/ownershipservice.h
+++ b/src/plugins/ownershipservice/ownershipservice.h
@@ -5,8 +5,8 @@
 #include <kernel/service.h>
 #include <manifestservice/manifestservice.h>
 #include <ownership/shardownership.h>
-#include <platform/table.h>
 #include <settings/runtime.h>
+#include <storage/table.h>
 
 #include <memory>
 
@@ -44,7 +44,7 @@
     bool isShard(Base::ShardIndex shard) const;
 
     const Settings::Runtime m_runtime;
-    Platform::Table *m_table = nullptr;
+    Storage::Table *m_table = nullptr;
     Wire::PeerPort *m_port = nullptr;
     std::function<void(Wire::PeerListener *)> m_addListener;
     Ownership::OwnershipObserver *m_observer = nullptr;
--- a/src/plugins/peerlink/inboundconnection.cpp
+++ b/src/plugins/peerlink/inboundconnection.cpp
@@ -15,9 +15,10 @@
 
 namespace PeerLink {
 
-InboundConnection::InboundConnection(const Settings::Runtime &runtime, asio::ip::tcp::socket socket,
-                                     std::uint64_t id, MessageCallback received, EndCallback ended)
+InboundConnection::InboundConnection(const Settings::Runtime &runtime, const LinkOptions &options,
+                                     asio::ip::tcp::socket socket, std::uint64_t id, MessageCallback received, EndCallback ended)
     : m_runtime(runtime)
+    , m_options(options)
     , m_socket(std::move(socket))
     , m_timer(runtime.io)
     , m_id(id)
@@ -43,7 +44,7 @@
 
 void InboundConnection::armSilenceTimer()
 {
-    m_timer.expires_after(Constants::SILENCE_LIMIT_MS);
+    m_timer.expires_after(m_options.silenceLimit);
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &ec) {
         if (!ec)
             self->end("silent for too long");
@@ -105,7 +106,7 @@
         std::any_of(peers.begin(), peers.end(), [&](const Settings::PeerSettings &it) {
             return it.daemon.value() == hello.daemon && it.domain.value() == hello.failureDomain;
         });
-    if (!isKnown) {
+    if (!isKnown && !m_options.acceptUnlisted) {
         Base::log(Base::LogLevel::Warning, "peerUnknown", {{"peer", hello.daemon}});
         return false;
     }
--- a/src/plugins/peerlink/inboundconnection.h
+++ b/src/plugins/peerlink/inboundconnection.h
@@ -1,6 +1,8 @@
 // A connection on which a peer sends to this daemon.
 #pragma once
 
+#include "linkoptions.h"
+
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <settings/runtime.h>
@@ -22,8 +24,9 @@
     /// Called once, when the connection has ended.
     using EndCallback = std::function<void(std::uint64_t id)>;
 
-    InboundConnection(const Settings::Runtime &runtime, asio::ip::tcp::socket socket,
-                      std::uint64_t id, MessageCallback received, EndCallback ended);
+    InboundConnection(const Settings::Runtime &runtime, const LinkOptions &options,
+                      asio::ip::tcp::socket socket, std::uint64_t id, MessageCallback received,
+                      EndCallback ended);
 
     void start();
     void close();
@@ -40,6 +43,7 @@
     void end(const char *reason);
 
     const Settings::Runtime m_runtime;
+    const LinkOptions m_options;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     const std::uint64_t m_id;
--- a/src/plugins/peerlink/outboundconnection.cpp
+++ b/src/plugins/peerlink/outboundconnection.cpp
@@ -15,9 +15,10 @@
 
 namespace PeerLink {
 
-OutboundConnection::OutboundConnection(const Settings::Runtime &runtime,
+OutboundConnection::OutboundConnection(const Settings::Runtime &runtime, const LinkOptions &options,
                                        Settings::PeerSettings peer, StateCallback stateChanged)
     : m_runtime(runtime)
+    , m_options(options)
     , m_peer(std::move(peer))
     , m_stateChanged(std::move(stateChanged))
     , m_socket(runtime.io)
@@ -39,6 +40,12 @@
     m_timer.cancel();
 }
 
+void OutboundConnection::reset()
+{
+    if (m_isUp)
+        fail("reset, since the peer receives nothing");
+}
+
 void OutboundConnection::dial()
 {
     if (m_isClosed)
@@ -48,7 +55,7 @@
     m_decoder = Wire::FrameDecoder(Wire::Constants::MAX_FRAME_BYTES);
     asio::error_code ec;
     const auto address = asio::ip::make_address(m_peer.endpoint.address, ec);
-    m_timer.expires_after(Constants::SILENCE_LIMIT_MS);
+    m_timer.expires_after(m_options.silenceLimit);
     m_timer.async_wait([self = shared_from_this(), generation](const asio::error_code &error) {
         if (!error && generation == self->m_generation && !self->m_isUp)
             self->fail("no handshake in time");
@@ -158,7 +165,7 @@
     }
     m_inWrite = buffers.size();
     if (m_isUp) {
-        m_timer.expires_after(Constants::WRITE_LIMIT_MS);
+        m_timer.expires_after(m_options.writeLimit);
         m_timer.async_wait(
             [self = shared_from_this(), generation = m_generation](const asio::error_code &error) {
                 if (!error && generation == self->m_generation && self->m_inWrite > 0)
@@ -201,7 +208,7 @@
         if (m_stateChanged)
             m_stateChanged(m_peer, false);
     }
-    m_runtime.timers.schedule(Constants::RECONNECT_MS,
+    m_runtime.timers.schedule(m_options.reconnect,
                               [self = shared_from_this(), generation = m_generation] {
                                   if (generation == self->m_generation)
                                       self->dial();
--- a/src/plugins/peerlink/outboundconnection.h
+++ b/src/plugins/peerlink/outboundconnection.h
@@ -1,6 +1,8 @@
 // The connection on which this daemon sends to one peer.
 #pragma once
 
+#include "linkoptions.h"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -24,11 +26,14 @@
     /// Called when the connection has become usable, or has stopped being so.
     using StateCallback = std::function<void(const Settings::PeerSettings &, bool isUp)>;
 
-    OutboundConnection(const Settings::Runtime &runtime, Settings::PeerSettings peer,
-                       StateCallback stateChanged);
+    OutboundConnection(const Settings::Runtime &runtime, const LinkOptions &options,
+                       Settings::PeerSettings peer, StateCallback stateChanged);
 
     void start();
     void close();
+    /// Drops a connection that is up and dials again.
+    void reset();
+    const Settings::PeerSettings &peer() const { return m_peer; }
 
     /// Returns false if the connection is down or its queue is full.
     bool send(std::string frame);
@@ -44,6 +49,7 @@
     void fail(const char *reason);
 
     const Settings::Runtime m_runtime;
+    const LinkOptions m_options;
     const Settings::PeerSettings m_peer;
     StateCallback m_stateChanged;
     asio::ip::tcp::socket m_socket;
--- a/src/plugins/peerlink/peerlink.cpp
+++ b/src/plugins/peerlink/peerlink.cpp
@@ -14,8 +14,9 @@
 
 namespace PeerLink {
 
-PeerLinkService::PeerLinkService(const Settings::Runtime &runtime)
+PeerLinkService::PeerLinkService(const Settings::Runtime &runtime, LinkOptions options)
     : m_runtime(runtime)
+    , m_options(options)
     , m_acceptor(runtime.io)
 {}
 
@@ -45,16 +46,45 @@
                                  std::string("can't listen on the peer port: ") + error.what());
     }
     accept();
-    for (const Settings::PeerSettings &it : m_runtime.settings.peers) {
-        auto connection = std::make_shared<OutboundConnection>(
-            m_runtime, it,
-            [this](const Settings::PeerSettings &peer, bool isUp) { stateChanged(peer, isUp); });
-        m_outbound.emplace(it.daemon, connection);
-        connection->start();
-    }
+    for (const Settings::PeerSettings &it : m_runtime.settings.peers)
+        addPeer(it);
     return absl::OkStatus();
 }
 
+void PeerLinkService::addPeer(const Settings::PeerSettings &peer)
+{
+    auto connection = std::make_shared<OutboundConnection>(
+        m_runtime, m_options, peer,
+        [this](const Settings::PeerSettings &it, bool isUp) { stateChanged(it, isUp); });
+    m_outbound.emplace(peer.daemon, connection);
+    connection->start();
+}
+
+void PeerLinkService::setPeers(const std::vector<Settings::PeerSettings> &peers)
+{
+    std::map<Base::DaemonId, Settings::PeerSettings> wanted;
+    for (const Settings::PeerSettings &it : peers)
+        wanted.emplace(it.daemon, it);
+    std::erase_if(m_outbound, [&wanted](const auto &it) {
+        const auto peer = wanted.find(it.first);
+        if (peer != wanted.end() && peer->second == it.second->peer())
+            return false;
+        it.second->close();
+        return true;
+    });
+    for (const auto &[daemon, peer] : wanted) {
+        if (!m_outbound.contains(daemon))
+            addPeer(peer);
+    }
+}
+
+void PeerLinkService::resetConnection(const Base::DaemonId &peer)
+{
+    const auto it = m_outbound.find(peer);
+    if (it != m_outbound.end())
+        it->second->reset();
+}
+
 void PeerLinkService::stop()
 {
     asio::error_code ec;
@@ -78,7 +108,7 @@
         if (!ec && m_inbound.size() < Constants::MAX_INBOUND_CONNECTIONS) {
             const std::uint64_t id = ++m_lastInbound;
             auto connection = std::make_shared<InboundConnection>(
-                m_runtime, std::move(socket), id,
+                m_runtime, m_options, std::move(socket), id,
                 [this](const Wire::PeerIdentity &from, const Wire::Message &message) {
                     messageReceived(from, message);
                 },
@@ -106,6 +136,8 @@
     m_telemetry->record(event);
     if (isUp) {
         Base::log(Base::LogLevel::Info, "peerConnected", {{"peer", peer.daemon}});
+        for (Wire::PeerListener *it : m_listeners)
+            it->peerConnected({peer.daemon, peer.domain, {}});
         return;
     }
     for (Wire::PeerListener *it : m_listeners)
--- a/src/plugins/peerlink/peerlink.h
+++ b/src/plugins/peerlink/peerlink.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "inboundconnection.h"
+#include "linkoptions.h"
 #include "outboundconnection.h"
 
 #include <asio/ip/tcp.hpp>
@@ -21,7 +22,7 @@
 class PeerLinkService : public Kernel::Service, public Wire::PeerPort
 {
 public:
-    explicit PeerLinkService(const Settings::Runtime &runtime);
+    explicit PeerLinkService(const Settings::Runtime &runtime, LinkOptions options = {});
     ~PeerLinkService() override;
 
     absl::Status start(const Kernel::ServiceRegistry &registry) override;
@@ -31,15 +32,22 @@
     /// service's stop().
     void addListener(Wire::PeerListener *listener);
 
+    /// Replaces the set of peers to dial. Connections to peers that stay are kept.
+    void setPeers(const std::vector<Settings::PeerSettings> &peers);
+    /// Dials \a peer again, for a connection whose data does not arrive.
+    void resetConnection(const Base::DaemonId &peer);
+
     bool send(const Base::DaemonId &peer, const Wire::Message &message) override;
     bool isConnected(const Base::DaemonId &peer) const override;
 
 private:
+    void addPeer(const Settings::PeerSettings &peer);
     void accept();
     void messageReceived(const Wire::PeerIdentity &from, const Wire::Message &message);
     void stateChanged(const Settings::PeerSettings &peer, bool isUp);
 
     const Settings::Runtime m_runtime;
+    const LinkOptions m_options;
     asio::ip::tcp::acceptor m_acceptor;
     std::map<Base::DaemonId, std::shared_ptr<OutboundConnection>> m_outbound;
     std::map<std::uint64_t, std::shared_ptr<InboundConnection>> m_inbound;
--- a/src/plugins/platformclient/platformclient.cpp
+++ b/src/plugins/platformclient/platformclient.cpp
@@ -73,7 +73,7 @@
     m_client.send(makeRequest("GET", "/v1/table/" + std::string(key)),
                   [callback = std::move(callback)](const Http::ClientResponse &response) {
                       absl::Status status = readStatus(response);
-                      Platform::Row row;
+                      Storage::Row row;
                       if (status.ok()) {
                           const json body = json::parse(response.body, nullptr, false);
                           try {
@@ -88,7 +88,7 @@
                   });
 }
 
-void PlatformClientService::compareAndSet(Platform::ConditionalWrite write, WriteCallback callback)
+void PlatformClientService::compareAndSet(Storage::ConditionalWrite write, WriteCallback callback)
 {
     Http::ClientRequest request = makeRequest("PUT", "/v1/table/" + write.key);
     request.body = json({{"value", write.value},
@@ -130,11 +130,11 @@
                   });
 }
 
-static Platform::HostState hostState(const std::string &name)
+static Storage::HostState hostState(const std::string &name)
 {
     if (name == "leaving")
-        return Platform::HostState::Leaving;
-    return name == "dead" ? Platform::HostState::Dead : Platform::HostState::Live;
+        return Storage::HostState::Leaving;
+    return name == "dead" ? Storage::HostState::Dead : Storage::HostState::Live;
 }
 
 void PlatformClientService::fetchHosts(Callback callback)
@@ -142,7 +142,7 @@
     m_client.send(makeRequest("GET", "/v1/hosts"),
                   [callback = std::move(callback)](const Http::ClientResponse &response) {
                       absl::Status status = readStatus(response);
-                      std::vector<Platform::HostEntry> hosts;
+                      std::vector<Storage::HostEntry> hosts;
                       if (status.ok()) {
                           const json body = json::parse(response.body, nullptr, false);
                           try {
--- a/src/plugins/platformclient/platformclient.h
+++ b/src/plugins/platformclient/platformclient.h
@@ -3,9 +3,9 @@
 
 #include <http/client.h>
 #include <kernel/service.h>
-#include <platform/membershipsource.h>
-#include <platform/table.h>
 #include <settings/runtime.h>
+#include <storage/membershipsource.h>
+#include <storage/table.h>
 
 #include <memory>
 
@@ -13,9 +13,9 @@
 
 /// Speaks the platform's protocol of docs/protocols.md. Holds no state but requests under way.
 class PlatformClientService : public Kernel::Service,
-                              public Platform::Table,
-                              public Platform::ObjectStore,
-                              public Platform::MembershipSource
+                              public Storage::Table,
+                              public Storage::ObjectStore,
+                              public Storage::MembershipSource
 {
 public:
     explicit PlatformClientService(const Settings::Runtime &runtime);
@@ -23,7 +23,7 @@
     absl::Status start(const Kernel::ServiceRegistry &registry) override;
 
     void read(std::string_view key, ReadCallback callback) override;
-    void compareAndSet(Platform::ConditionalWrite write, WriteCallback callback) override;
+    void compareAndSet(Storage::ConditionalWrite write, WriteCallback callback) override;
     void get(std::string_view key, GetCallback callback) override;
     void put(std::string_view key, std::string body, PutCallback callback) override;
     void fetchHosts(Callback callback) override;
--- a/src/plugins/telemetry/telemetryservice.cpp
+++ b/src/plugins/telemetry/telemetryservice.cpp
@@ -3,11 +3,8 @@
 
 namespace Telemetry {
 
-/// 20 MB, and 20 s of events at 5,000 task starts a second.
-static constexpr std::size_t EVENT_CAPACITY = 100'000;
-
-TelemetryService::TelemetryService(const Settings::Runtime &runtime)
-    : m_events(runtime.settings.daemon, m_clock, EVENT_CAPACITY)
+TelemetryService::TelemetryService(const Settings::Runtime &runtime, std::size_t eventCapacity)
+    : m_events(runtime.settings.daemon, m_clock, eventCapacity)
     , m_jobs(m_events, m_metrics, runtime.timers)
 {}
 
--- a/src/plugins/telemetry/telemetryservice.h
+++ b/src/plugins/telemetry/telemetryservice.h
@@ -15,7 +15,11 @@
 class TelemetryService : public Kernel::Service
 {
 public:
-    explicit TelemetryService(const Settings::Runtime &runtime);
+    /// 20 MB, and 20 s of events at 5,000 task starts a second.
+    static constexpr std::size_t DEFAULT_EVENT_CAPACITY = 100'000;
+
+    explicit TelemetryService(const Settings::Runtime &runtime,
+                              std::size_t eventCapacity = DEFAULT_EVENT_CAPACITY);
 
     absl::Status start(const Kernel::ServiceRegistry &registry) override;
 
--- a/tests/auto/manifestservice/tst_manifestservice.cpp
+++ b/tests/auto/manifestservice/tst_manifestservice.cpp
@@ -55,9 +55,7 @@
 }
 
 /// The platform as one daemon sees it; reads can return an old copy of the table.
-class PlatformOfDaemon : public Kernel::Service,
-                         public Platform::Table,
-                         public Platform::ObjectStore
+class PlatformOfDaemon : public Kernel::Service, public Storage::Table, public Storage::ObjectStore
 {
 public:
     PlatformOfDaemon(FakeTable &table, std::map<std::string, std::string> &objects,
@@ -71,12 +69,12 @@
 
     void read(std::string_view key, ReadCallback callback) override
     {
-        client.read(key, [this, callback](const absl::Status &status, const Platform::Row &row) {
+        client.read(key, [this, callback](const absl::Status &status, const Storage::Row &row) {
             const bool isOld = status.ok() && oldCopy && oldCopy->version < row.version;
             callback(status, isOld ? *oldCopy : row);
         });
     }
-    void compareAndSet(Platform::ConditionalWrite write, WriteCallback callback) override
+    void compareAndSet(Storage::ConditionalWrite write, WriteCallback callback) override
     {
         client.compareAndSet(std::move(write), std::move(callback));
     }
@@ -102,7 +100,7 @@
     }
 
     FakeTableClient client;
-    std::optional<Platform::Row> oldCopy;
+    std::optional<Storage::Row> oldCopy;
 
 private:
     std::map<std::string, std::string> &m_objects;
--- a/tests/auto/ownership/daemoncluster.h
+++ b/tests/auto/ownership/daemoncluster.h
@@ -4,7 +4,7 @@
 #include <base/failure.h>
 #include <ownership/ownershipconstants.h>
 #include <ownership/shardownership.h>
-#include <platform/shardrow.h>
+#include <storage/shardrow.h>
 #include <support/fakepeernetwork.h>
 #include <support/faketable.h>
 #include <support/processtimers.h>
@@ -72,8 +72,8 @@
         : shards(shardCount)
         , ids(names.begin(), names.end())
     {
-        table.rowChanged = [this](const std::string &key, const Platform::Row &before,
-                                  const Platform::Row &after) { rowChanged(key, before, after); };
+        table.rowChanged = [this](const std::string &key, const Storage::Row &before,
+                                  const Storage::Row &after) { rowChanged(key, before, after); };
     }
 
     SimulatedDaemon &start(const DaemonId &id)
@@ -130,10 +130,10 @@
         }
     }
 
-    Platform::ShardRow row(ShardIndex shard = SHARD) const
+    Storage::ShardRow row(ShardIndex shard = SHARD) const
     {
         const auto it = m_rows.find(shard);
-        return it == m_rows.end() ? Platform::ShardRow() : it->second;
+        return it == m_rows.end() ? Storage::ShardRow() : it->second;
     }
 
     /// The owner commits a record if all required replicas accept it.
@@ -190,7 +190,7 @@
             if (!found)
                 continue;
             const auto required = found->ownership.requiredReplicas(shard);
-            for (const Platform::Replica &it : m_rows[shard].replicas) {
+            for (const Storage::Replica &it : m_rows[shard].replicas) {
                 if (it.daemon != found->identity.daemon && !std::ranges::count(required, it.daemon))
                     violation("a listed replica is not required");
             }
@@ -205,8 +205,8 @@
     std::map<DaemonId, std::unique_ptr<SimulatedDaemon>> daemons;
     std::map<ShardIndex, std::set<int>> committed;
     /// Replicas that were listed when each epoch was written.
-    std::map<std::pair<ShardIndex, Epoch>, std::vector<Platform::Replica>> listedBefore;
-    std::map<ShardIndex, std::pair<Epoch, Platform::Replica>> lastAcquired;
+    std::map<std::pair<ShardIndex, Epoch>, std::vector<Storage::Replica>> listedBefore;
+    std::map<ShardIndex, std::pair<Epoch, Storage::Replica>> lastAcquired;
     bool autoJoin = true;
     bool violated = false;
     std::uint64_t seed = 0;
@@ -214,10 +214,10 @@
     int lastRecord = 0;
 
 private:
-    void rowChanged(const std::string &key, const Platform::Row &before, const Platform::Row &after)
+    void rowChanged(const std::string &key, const Storage::Row &before, const Storage::Row &after)
     {
-        const auto old = Platform::decodeShardRow(before.value).value_or(Platform::ShardRow());
-        const auto row = Platform::decodeShardRow(after.value).value_or(Platform::ShardRow());
+        const auto old = Storage::decodeShardRow(before.value).value_or(Storage::ShardRow());
+        const auto row = Storage::decodeShardRow(after.value).value_or(Storage::ShardRow());
         const ShardIndex shard(std::stoull(key.substr(key.rfind('/') + 1)));
         m_rows[shard] = row;
         if (row.epoch > old.epoch)
@@ -226,7 +226,7 @@
             violation("the owner changed without a higher epoch");
     }
 
-    std::map<ShardIndex, Platform::ShardRow> m_rows; // decoded rows of the table
+    std::map<ShardIndex, Storage::ShardRow> m_rows; // decoded rows of the table
 };
 
 inline SimulatedDaemon::SimulatedDaemon(DaemonCluster &owner, Wire::PeerIdentity self,
@@ -254,7 +254,7 @@
 inline void SimulatedDaemon::shardAcquired(ShardIndex shard, Epoch epoch, bool complete)
 {
     acquired.push_back(complete);
-    const Platform::Replica self{identity.daemon, identity.incarnation};
+    const Storage::Replica self{identity.daemon, identity.incarnation};
     const auto last = cluster.lastAcquired.find(shard);
     if (last != cluster.lastAcquired.end()
         && (epoch < last->second.first
--- a/tests/auto/support/faketable.h
+++ b/tests/auto/support/faketable.h
@@ -5,7 +5,7 @@
 #include "manualtimers.h"
 
 #include <base/failure.h>
-#include <platform/table.h>
+#include <storage/table.h>
 
 #include <cstdint>
 #include <deque>
@@ -32,20 +32,20 @@
         : clock(clockOfTest)
     {}
 
-    Platform::Row row(const std::string &key) const
+    Storage::Row row(const std::string &key) const
     {
         const auto it = m_rows.find(key);
-        return it == m_rows.end() ? Platform::Row() : it->second;
+        return it == m_rows.end() ? Storage::Row() : it->second;
     }
 
-    absl::Status apply(const Platform::ConditionalWrite &write, std::uint64_t &version)
+    absl::Status apply(const Storage::ConditionalWrite &write, std::uint64_t &version)
     {
         if (const auto done = m_transactions.find(write.transaction);
             done != m_transactions.end()) {
             version = done->second;
             return absl::OkStatus();
         }
-        const Platform::Row before = row(write.key);
+        const Storage::Row before = row(write.key);
         if (before.version != write.expectedVersion)
             return Base::makeFailure(Base::FailureCode::VersionMismatch, "fake");
         version = before.version + 1;
@@ -63,20 +63,20 @@
     Base::Duration delayedEffect = std::chrono::seconds(5);
     /// Asked for each access without a scripted fault.
     std::function<TableFault()> chooseFault;
-    std::function<void(const std::string &key, const Platform::Row &before,
-                       const Platform::Row &after)>
+    std::function<void(const std::string &key, const Storage::Row &before,
+                       const Storage::Row &after)>
         rowChanged;
     std::uint64_t readCount = 0;
     std::uint64_t writeCount = 0;
 
 private:
-    std::map<std::string, Platform::Row> m_rows;
+    std::map<std::string, Storage::Row> m_rows;
     std::map<std::string, std::uint64_t> m_transactions;
 };
 
 /// Requests travel on the clock of the test, so that they take effect even if the process dies;
 /// replies arrive through the timers of the process.
-class FakeTableClient : public Platform::Table
+class FakeTableClient : public Storage::Table
 {
 public:
     FakeTableClient(FakeTable &table, Base::Timers &timers)
@@ -98,12 +98,12 @@
             const bool unavailable = fails || m_table.down;
             reply(m_table.latency / 2, [unavailable, row = m_table.row(name), callback] {
                 callback(unavailable ? unavailableStatus() : absl::OkStatus(),
-                         unavailable ? Platform::Row() : row);
+                         unavailable ? Storage::Row() : row);
             });
         });
     }
 
-    void compareAndSet(Platform::ConditionalWrite write, WriteCallback callback) override
+    void compareAndSet(Storage::ConditionalWrite write, WriteCallback callback) override
     {
         ++m_table.writeCount;
         TableFault fault = m_table.chooseFault ? m_table.chooseFault() : TableFault::None;
