--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -64,6 +64,8 @@
 
 /// Late results are worth something until this multiple of the objective.
 constexpr double LATE_FACTOR = 3;
+/// A wait below this share of the useful time does not count against a job.
+constexpr double FREE_WAIT_SHARE = 0.1;
 /// Bounds of what one job may ask for.
 constexpr std::uint32_t MAX_STEPS = 256;
 constexpr std::uint32_t MAX_TASKS_PER_JOB = 4000;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -53,7 +53,11 @@
     const auto wait = m_directory.expectedWait(policy.service, policy.priority);
     const Base::Duration useful =
         std::min(scaled(objective, Constants::LATE_FACTOR), request.timeLeft);
-    if (!wait || *wait + chain > useful) {
+    // Estimates are off by half and more, so that a job is not rejected for its estimate alone while
+    // nothing waits.
+    const bool isQueueTooLong = wait && wait->count() > 0 && *wait + chain > useful
+                                && *wait > scaled(useful, Constants::FREE_WAIT_SHARE);
+    if (!wait || isQueueTooLong) {
         ++m_counters.rejected;
         Base::log(LogLevel::Info, "jobRejected",
                   {{"job", id},
--- a/src/libs/storage/tablefollower.cpp
+++ b/src/libs/storage/tablefollower.cpp
@@ -122,6 +122,18 @@
     });
 }
 
+void TableFollower::awaitAfter(Base::Duration pause)
+{
+    if (pause.count() == 0) {
+        await();
+        return;
+    }
+    m_timers.schedule(pause, [this, alive = m_isAlive] {
+        if (*alive)
+            await();
+    });
+}
+
 void TableFollower::await()
 {
     m_feed.awaitChanges(m_table, m_position, m_timing.wait,
@@ -146,7 +158,8 @@
                                 isChanged |= merge(it);
                             if (isChanged)
                                 m_changed();
-                            await();
+                            awaitAfter(result.rows.empty() ? Base::Duration(0)
+                                                           : Base::Duration(m_timing.gather));
                         });
 }
 
--- a/src/libs/storage/tablefollower.h
+++ b/src/libs/storage/tablefollower.h
@@ -12,6 +12,8 @@
 {
     /// Longest wait for a change. A silent connection is noticed soon after it.
     std::chrono::milliseconds wait{2000};
+    /// Pause after changes, in which further ones gather: each call to the store is paid for.
+    std::chrono::milliseconds gather{0};
     std::chrono::milliseconds retry{100};    // after a failure
     std::chrono::milliseconds maxRetry{500}; // the pause doubles up to this
 };
@@ -38,6 +40,7 @@
 private:
     void read();
     void await();
+    void awaitAfter(Base::Duration pause);
     void retry(bool readAgain);
     void succeeded();
     bool merge(const TableRow &row);
