Dispatch: a group is claimed only where its executors are reached; takeover waits for each task's executor

A new owner that did not list an executor, whose registration had lapsed in the cut, started its tasks elsewhere. Change: claims follow a probe of the executors, wait after a failed probe and after a fence; a claim of tasks names the executor of the last reported start, and the new owner waits for that listing or for the end of the earlier lease. Rounds begin higher with each registration. Ruled out: a majority of daemons (a zone that is cut off must go on); waiting a lease at every takeover.

--- a/src/app/endivepathd/platformdaemon.cpp
+++ b/src/app/endivepathd/platformdaemon.cpp
@@ -32,7 +32,7 @@
     PeerLink::LinkOptions options;
     options.reconnect = std::chrono::milliseconds(100);
     // State messages come every 100 ms.
-    options.silenceLimit = std::chrono::milliseconds(1500);
+    options.silenceLimit = std::chrono::milliseconds(800);
     options.writeLimit = std::chrono::milliseconds(1000);
     options.acceptUnlisted = true;
     return options;
@@ -78,6 +78,7 @@
 
 absl::Status PlatformDaemon::run()
 {
+    Base::setLogLevel(m_settings.daemon.logLevel);
     Base::setLogStream(Base::LogStream::StandardOutput);
     Base::setLogContext("daemon", m_settings.daemon.daemon.value());
     addServices();
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -58,9 +58,26 @@
 /// A daemon of the group's own domain takes the group back after it has been up for this long.
 constexpr milliseconds HOME_CLAIM_DELAY_MS{1500};
 /// Added to the round after a refusal by an executor whose higher token nobody claims.
-constexpr std::uint64_t ROUND_STEP = 1000;
-/// Low bits of a token that tell daemons apart.
-constexpr int TOKEN_DAEMON_BITS = 20;
+constexpr std::uint64_t ROUND_STEP = 64;
+/// Rounds of a daemon that starts begin this much above those of the daemon registered before it.
+constexpr std::uint64_t ROUNDS_PER_DAEMON = 1024;
+/// Low bits of a token that tell daemons apart. Tokens stay below 2^53, which JSON numbers can hold,
+/// up to daemon number 2^27.
+constexpr int TOKEN_DAEMON_BITS = 16;
+
+/// Wait before the next claim of a group from which this daemon was fenced; doubles each time. The
+/// claim of the other daemon arrives within a heartbeat, or after its connection is up again.
+constexpr milliseconds FENCE_WAIT_MS{1000};
+constexpr int MAX_FENCE_DOUBLINGS = 3;
+constexpr milliseconds FENCE_MEMORY_MS{20000};
+/// Claims that are tried at once when the executors refuse the first order under a new token.
+constexpr int STALE_TOKEN_TRIES = 4;
+/// Pause between probes of a group that can't be reached.
+constexpr milliseconds PROBE_RETRY_MS{300};
+/// From the last failed probe until a claim: connections between daemons are up again by then.
+constexpr milliseconds HEAL_WAIT_MS{1300};
+/// Executors that are asked by a probe.
+constexpr std::size_t PROBE_SIZE = 8;
 
 /// Late results are worth something until this multiple of the objective.
 constexpr double LATE_FACTOR = 3;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -45,6 +45,13 @@
     return it == m_ledgers.end() ? nullptr : &it->second;
 }
 
+void ExecutorGroup::fence()
+{
+    if (std::exchange(m_isFenced, true))
+        return;
+    m_listener.groupFenced(m_group, m_wasAccepted);
+}
+
 std::size_t ExecutorGroup::runCount() const
 {
     std::size_t n = 0;
@@ -123,8 +130,9 @@
     if (claimFoundRun(id, task))
         return;
     Task &added = m_tasks.emplace(id, std::move(task)).first->second;
-    if (entry.mayHaveStarted && !areAllLooked()) {
+    if (entry.mayHaveStarted && !isFateKnown(ExecutorId(entry.executor))) {
         added.state = TaskState::AwaitingLook;
+        added.executor = ExecutorId(entry.executor);
         m_awaitingLook.insert(id);
         return;
     }
@@ -285,6 +293,12 @@
     order.leaseEnd = executor.nextLeaseEnd(now);
     order.token = m_token;
     executor.leaseSent(now);
+    Base::log(LogLevel::Debug, "startSent",
+              {{"task", toString(id)},
+               {"run", number},
+               {"executor", executor.info().id},
+               {"token", m_token},
+               {"waited", now - task.queuedAt}});
     m_port.startTask(executor.info(), order,
                      [this, alive = m_isAlive, executorId = executor.info().id, id,
                       number](const OrderResult &result) {
@@ -341,8 +355,7 @@
     executor->runs().erase(id);
     changed();
     if (result.refusal == RefusalReason::Fenced) {
-        m_isFenced = true;
-        m_listener.groupFenced(m_group);
+        fence();
         return;
     }
     if (result.outcome == OrderOutcome::OtherLifetime)
@@ -414,8 +427,7 @@
         return;
     }
     if (result.refusal == RefusalReason::Fenced) {
-        m_isFenced = true;
-        m_listener.groupFenced(m_group);
+        fence();
     } else if (result.outcome == OrderOutcome::OtherLifetime) {
         lifetimeEnded(*executor, Lifetime());
     }
@@ -463,8 +475,7 @@
         break;
     case OrderOutcome::Refused:
         if (result.order.refusal == RefusalReason::Fenced) {
-            m_isFenced = true;
-            m_listener.groupFenced(m_group);
+            fence();
             return;
         }
         [[fallthrough]];
@@ -492,6 +503,7 @@
         lifetimeEnded(*executor, result.lifetime);
         return;
     }
+    m_wasAccepted = true;
     if (executor->lifetime().value() == 0)
         executor->setLifetime(result.lifetime);
     if (result.order.clock)
@@ -585,6 +597,11 @@
     const auto known = m_ended.find(end.task);
     if (known == m_ended.end() || known->second.run <= end.run)
         m_ended[end.task] = {end.run, end.end, m_timers.now()};
+    Base::log(LogLevel::Debug, "endListed",
+              {{"task", toString(end.task)},
+               {"run", end.run},
+               {"end", static_cast<int>(end.end)},
+               {"executor", executor.info().id}});
     Run *run = executor.find(end.task);
     if (!run || run->number != end.run)
         return;
@@ -751,27 +768,44 @@
         m_listener.tasksReported(key.first, reports);
 }
 
-bool ExecutorGroup::areAllLooked() const
+bool ExecutorGroup::isLeaseOfEarlierOwnerOver() const
+{
+    return m_timers.now() >= m_claimed + Constants::LEASE_MS + Constants::LEASE_SLACK_MS;
+}
+
+/// Whether a task that an earlier owner had, and that is in no listing, runs nowhere any more. It was
+/// last reported on \a executor, or not reported as started if that is empty. An executor that this
+/// daemon does not know, for its registration has lapsed or not arrived, may still run it until the
+/// lease of the earlier owner is over.
+bool ExecutorGroup::isFateKnown(const ExecutorId &executor) const
 {
-    const bool areLeasesOver =
-        m_timers.now() >= m_claimed + Constants::LEASE_MS + Constants::LEASE_SLACK_MS;
-    return areLeasesOver
-           || std::all_of(m_ledgers.begin(), m_ledgers.end(),
-                          [](const auto &it) { return it.second.isLooked; });
+    if (isLeaseOfEarlierOwnerOver())
+        return true;
+    if (!executor.isEmpty()) {
+        const auto it = m_ledgers.find(executor);
+        return it != m_ledgers.end() && it->second.isLooked;
+    }
+    return std::all_of(m_ledgers.begin(), m_ledgers.end(),
+                       [](const auto &it) { return it.second.isLooked; });
 }
 
 void ExecutorGroup::releaseAwaitingLook()
 {
-    if (m_awaitingLook.empty() || !areAllLooked())
-        return;
-    for (const TaskId &it : std::exchange(m_awaitingLook, {})) {
+    std::vector<TaskId> known;
+    for (const TaskId &it : m_awaitingLook) {
         const auto task = m_tasks.find(it);
         EP_ASSERT(task != m_tasks.end(), continue);
+        if (isFateKnown(task->second.executor))
+            known.push_back(it);
+    }
+    for (const TaskId &it : known) {
+        m_awaitingLook.erase(it);
+        Task &task = m_tasks.at(it);
         const auto ended = m_ended.find(it);
         const bool isKnownResult = ended != m_ended.end()
                                    && (ended->second.end == RunEnd::Done
                                        || ended->second.end == RunEnd::Failed)
-                                   && ended->second.run.value() >= task->second.nextRun;
+                                   && ended->second.run.value() >= task.nextRun;
         if (isKnownResult) {
             finishTask(it, ended->second.run,
                        ended->second.end == RunEnd::Done ? TaskReportState::Done
@@ -780,8 +814,8 @@
             continue;
         }
         if (ended != m_ended.end())
-            task->second.nextRun = std::max(task->second.nextRun, ended->second.run.value() + 1);
-        enqueue(it, task->second);
+            task.nextRun = std::max(task.nextRun, ended->second.run.value() + 1);
+        enqueue(it, task);
     }
 }
 
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -22,8 +22,9 @@
     /// Reports for the daemon \a coordinator, which holds the job.
     virtual void tasksReported(const Base::DaemonId &coordinator,
                                const Wire::TaskReports &reports) = 0;
-    /// An executor has seen a higher token. The group must not be used any more.
-    virtual void groupFenced(const GroupId &group) = 0;
+    /// An executor has seen a higher token. The group must not be used any more. \a wasAccepted: an
+    /// earlier order under the group's token was accepted.
+    virtual void groupFenced(const GroupId &group, bool wasAccepted) = 0;
 };
 
 /// Counts of one group since its claim.
@@ -90,7 +91,7 @@
         std::shared_ptr<const Order> order;
         std::uint64_t nextRun = 1;
         TaskState state = TaskState::Queued;
-        ExecutorId executor; // if OnExecutor
+        ExecutorId executor; // if OnExecutor; if AwaitingLook, where an earlier owner started it
         bool isCancelled = false;
         bool wasStarted = false;
         Base::TimePoint queuedAt;
@@ -137,7 +138,9 @@
     void flushReports();
     void followExecutor(ExecutorLedger &executor);
     void checkRuns(ExecutorLedger &executor);
-    bool areAllLooked() const;
+    void fence();
+    bool isLeaseOfEarlierOwnerOver() const;
+    bool isFateKnown(const ExecutorId &executor) const;
     void releaseAwaitingLook();
     double estimateLogMs(const Order &order) const;
     void changed() { m_isLoadChanged = true; }
@@ -151,6 +154,7 @@
     // Callbacks of orders that are answered after the group is gone must do nothing.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     bool m_isFenced = false;
+    bool m_wasAccepted = false; // some executor has accepted the token
 
     LedgerMap m_ledgers;
     std::map<TaskId, Task> m_tasks; // Queued tasks are in m_queue, OnExecutor ones in a ledger
--- a/src/libs/dispatch/grouprights.cpp
+++ b/src/libs/dispatch/grouprights.cpp
@@ -33,7 +33,7 @@
 {
     m_daemonNumber = number;
     // Earlier daemons had lower numbers, so this is above the rounds that they began with.
-    m_highestRound = std::max(m_highestRound, number);
+    m_highestRound = std::max(m_highestRound, number * Constants::ROUNDS_PER_DAEMON);
 }
 
 void GroupRights::setGroups(const std::map<GroupId, Base::FailureDomainId> &groups)
@@ -120,19 +120,51 @@
     m_listener.groupOwnerChanged(it->first);
 }
 
-void GroupRights::fenced(const GroupId &group)
+void GroupRights::fenced(const GroupId &id, bool wasAccepted)
 {
-    const auto it = m_groups.find(group);
+    const auto it = m_groups.find(id);
     if (it == m_groups.end() || !it->second.claim || it->second.claim->owner != m_self)
         return;
+    Group &group = it->second;
+    const Base::TimePoint now = m_timers.now();
+    if (now - std::exchange(group.lastFenced, now) > Constants::FENCE_MEMORY_MS)
+        group.fencedCount = 0;
+    ++group.fencedCount;
+    // Another daemon may own the group, and its claim be on its way. After a restart of all daemons
+    // the executors may still know a token of before; then the next round is tried at once.
+    const bool isStaleToken = !wasAccepted && group.fencedCount <= Constants::STALE_TOKEN_TRIES;
+    if (!isStaleToken) {
+        const int doublings = std::min(group.fencedCount - 1, Constants::MAX_FENCE_DOUBLINGS);
+        group.notBefore = now + Constants::FENCE_WAIT_MS * (1 << doublings);
+    }
+    group.minRound = roundOf(group.claim->token) + Constants::ROUND_STEP;
     Base::log(LogLevel::Warning, "groupFenced",
-              {{"group", group}, {"token", it->second.claim->token}});
-    // Another daemon uses a higher token, or one did before all daemons restarted.
-    it->second.minRound = roundOf(it->second.claim->token) + Constants::ROUND_STEP;
-    it->second.claim.reset();
-    it->second.isVacant = false;
-    m_listener.groupLost(group);
-    m_listener.groupOwnerChanged(group);
+              {{"group", id},
+               {"token", group.claim->token},
+               {"wait", std::max(Base::Duration(0), group.notBefore - now)}});
+    group.claim.reset();
+    group.isVacant = false;
+    m_listener.groupLost(id);
+    m_listener.groupOwnerChanged(id);
+}
+
+void GroupRights::probed(const GroupId &id, bool isReachable)
+{
+    const auto it = m_groups.find(id);
+    if (it == m_groups.end())
+        return;
+    Group &group = it->second;
+    const Base::TimePoint now = m_timers.now();
+    group.isProbing = false;
+    if (!isReachable) {
+        // When a cut heals, the owner beyond it is heard of a little later than its executors.
+        group.nextProbe = now + Constants::PROBE_RETRY_MS;
+        group.notBefore = std::max(group.notBefore, now + Constants::HEAL_WAIT_MS);
+        return;
+    }
+    // Only if the claim is still due: the owner may have been heard meanwhile.
+    if (now >= group.notBefore && isClaimDue(id, group))
+        claim(id, group);
 }
 
 bool GroupRights::isClaimValid(const Group &group) const
@@ -193,31 +225,39 @@
     m_listener.groupOwnerChanged(id);
 }
 
-void GroupRights::tickGroup(const GroupId &id, Group &group)
+bool GroupRights::isClaimDue(const GroupId &id, Group &group)
 {
     const Base::TimePoint now = m_timers.now();
-    if (group.claim && group.claim->owner == m_self) {
-        group.claim->confirmed = now;
-        return;
-    }
+    if (m_daemonNumber == 0 || m_isDraining)
+        return false;
+    if (group.claim && group.claim->owner == m_self)
+        return false;
     if (isClaimValid(group)) {
         group.isVacant = false;
         // The claim of a daemon elsewhere stands in until a daemon of the domain is up again.
         const auto peer = m_peers.find(group.claim->owner);
         const bool isForeign = peer != m_peers.end() && peer->second.domain != group.domain;
-        if (isForeign && m_domain == group.domain && now - m_started > Constants::HOME_CLAIM_DELAY_MS
-            && rank(id, group) == 0) {
-            claim(id, group);
-        }
-        return;
+        return isForeign && m_domain == group.domain
+               && now - m_started > Constants::HOME_CLAIM_DELAY_MS && rank(id, group) == 0;
     }
     if (!group.isVacant) {
         group.isVacant = true;
         group.vacantSince = now;
     }
-    const auto wait = Constants::CLAIM_RANK_DELAY_MS * rank(id, group);
-    if (now - group.vacantSince >= wait)
-        claim(id, group);
+    return now - group.vacantSince >= Constants::CLAIM_RANK_DELAY_MS * rank(id, group);
+}
+
+void GroupRights::tickGroup(const GroupId &id, Group &group)
+{
+    const Base::TimePoint now = m_timers.now();
+    if (group.claim && group.claim->owner == m_self) {
+        group.claim->confirmed = now;
+        return;
+    }
+    if (!isClaimDue(id, group) || group.isProbing || now < group.nextProbe)
+        return;
+    group.isProbing = true;
+    m_listener.probeGroup(id);
 }
 
 void GroupRights::tick()
--- a/src/libs/dispatch/grouprights.h
+++ b/src/libs/dispatch/grouprights.h
@@ -22,6 +22,8 @@
     virtual void groupOwnerChanged(const GroupId &group) = 0;
     /// A peer is silent, restarted, or receives nothing from this daemon.
     virtual void peerLost(const Base::DaemonId &peer) = 0;
+    /// Finds out how many executors of \a group can be reached and calls probed() later.
+    virtual void probeGroup(const GroupId &group) = 0;
 };
 
 /// Rights need no agreement beforehand: the executors refuse all tokens but the highest that they
@@ -30,6 +32,10 @@
 /// owner is replaced within PEER_SILENCE_MS. It needs neither the store nor a majority, so each part
 /// of a divided deployment goes on with the executors that it reaches.
 ///
+/// A group is claimed only if most of its executors can be reached. A daemon that is cut off from a
+/// group would otherwise claim it as soon as it loses its owner, and fence the owner when the cut
+/// heals.
+///
 /// Tokens are unique: the high bits are a round that rises with each claim, the low bits tell the
 /// daemons apart.
 class GroupRights
@@ -48,8 +54,11 @@
     void peerHeard(const Base::DaemonId &peer, const Base::FailureDomainId &domain,
                    Base::Incarnation incarnation, const Wire::DispatchState &state);
     void peerBroken(const Base::DaemonId &peer);
-    /// An executor of \a group refused the token of this daemon.
-    void fenced(const GroupId &group);
+    /// An executor of \a group refused the token of this daemon. \a wasAccepted: another order under
+    /// that token had been accepted, so that the higher one is newer.
+    void fenced(const GroupId &group, bool wasAccepted);
+    /// Answer to RightsListener::probeGroup().
+    void probed(const GroupId &group, bool isReachable);
 
     /// Finds lost peers and claims groups; called every TICK_MS.
     void tick();
@@ -87,11 +96,17 @@
         Base::TimePoint vacantSince; // if there is no valid claim
         bool isVacant = false;
         std::uint64_t minRound = 0;
+        bool isProbing = false;
+        Base::TimePoint nextProbe;
+        Base::TimePoint notBefore; // no claim before this
+        int fencedCount = 0;       // consecutive claims that ended by a fence
+        Base::TimePoint lastFenced;
     };
 
     bool isClaimValid(const Group &group) const;
     void mergeClaim(const Wire::GroupClaim &claim);
     void claim(const GroupId &id, Group &group);
+    bool isClaimDue(const GroupId &id, Group &group);
     void tickGroup(const GroupId &id, Group &group);
     /// Position of this daemon among those that may claim \a group; the first claims at once.
     std::size_t rank(const GroupId &id, const Group &group) const;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -163,7 +163,8 @@
     batch.rack = spec.preferredRack;
     batch.maxPerExecutor = spec.maxPerExecutor;
     for (const std::uint32_t it : indices)
-        batch.tasks.push_back({it, job.steps[step][it].minRun, mayHaveStarted});
+        batch.tasks.push_back(
+            {it, job.steps[step][it].minRun, mayHaveStarted, job.steps[step][it].executor});
     if (!m_sender.sendToOwner(group, batch))
         return false;
     m_sequences[group] = batch.sequence;
@@ -215,18 +216,22 @@
     switch (state) {
     case TaskReportState::Started:
         job.wasStarted = true;
+        task.executor = report.executor;
         return;
     case TaskReportState::Returned:
         task.state = TaskState::Waiting;
+        task.executor.clear();
         return;
     case TaskReportState::Lost:
         job.wasStarted = true;
         task.state = TaskState::Waiting;
+        task.executor.clear();
         task.minRun = report.run + 1;
         return;
     case TaskReportState::Failed:
         job.wasStarted = true;
         task.state = TaskState::Waiting;
+        task.executor.clear();
         task.minRun = report.run + 1;
         if (++task.failures >= job.request.policy.maxAttempts) {
             finish(it, {JobOutcome::Failed, "taskFailed", {}});
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -86,6 +86,7 @@
         GroupId group; // if AtGroup
         std::uint64_t minRun = 1;
         std::uint32_t failures = 0;
+        std::string executor; // where its last run was reported, while AtGroup
         bool needsClaim = false; // AtGroup, and the owner has yet to be asked about it
     };
 
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -214,8 +214,9 @@
     std::uint32_t index = 0;
     std::uint64_t minRun = 1; // the lowest run number that may be used
     bool mayHaveStarted = false; // an earlier owner of the group may have started it
+    std::string executor;        // where it was last reported as started; may be empty
 
-    MSGPACK_DEFINE(index, minRun, mayHaveStarted)
+    MSGPACK_DEFINE(index, minRun, mayHaveStarted, executor)
 };
 
 /// Tasks of one step, from the daemon that holds the job to the owner of a group.
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -206,9 +206,48 @@
     return m_link->send(*owner, message);
 }
 
-void DispatchServiceImpl::groupFenced(const GroupId &group)
+void DispatchServiceImpl::groupFenced(const GroupId &group, bool wasAccepted)
 {
-    post([this, group] { m_rights.fenced(group); });
+    post([this, group, wasAccepted] { m_rights.fenced(group, wasAccepted); });
+}
+
+/// The lowest token shows whether an executor answers, and changes nothing there.
+void DispatchServiceImpl::probeGroup(const GroupId &group)
+{
+    struct Probe
+    {
+        std::size_t asked = 0;
+        std::size_t answered = 0;
+        std::size_t reached = 0;
+        bool isDone = false;
+    };
+    const std::vector<Dispatch::ExecutorInfo> &executors = m_executors[group];
+    const auto probe = std::make_shared<Probe>();
+    probe->asked = std::min(executors.size(), Constants::PROBE_SIZE);
+    if (probe->asked == 0) {
+        post([this, group] { m_rights.probed(group, false); });
+        return;
+    }
+    for (std::size_t i = 0; i < probe->asked; ++i) {
+        // Spread over the whole list, since neighbours share a rack.
+        const Dispatch::ExecutorInfo &executor = executors[i * executors.size() / probe->asked];
+        m_port.hold(executor, {}, [this, alive = m_isAlive, group,
+                                   probe](const Dispatch::HoldResult &result) {
+            if (!*alive)
+                return;
+            const Dispatch::OrderOutcome outcome = result.order.outcome;
+            if (outcome != Dispatch::OrderOutcome::Unknown
+                && outcome != Dispatch::OrderOutcome::NotSent) {
+                ++probe->reached;
+            }
+            ++probe->answered;
+            const bool isReachable = probe->reached * 2 > probe->asked;
+            if (probe->isDone || (!isReachable && probe->answered < probe->asked))
+                return;
+            probe->isDone = true;
+            m_rights.probed(group, isReachable);
+        });
+    }
 }
 
 void DispatchServiceImpl::groupClaimed(const GroupId &id, Dispatch::FencingToken token)
--- a/src/plugins/dispatchservice/dispatchservice.h
+++ b/src/plugins/dispatchservice/dispatchservice.h
@@ -48,11 +48,12 @@
 private:
     void tasksReported(const Base::DaemonId &coordinator,
                        const Wire::TaskReports &reports) override;
-    void groupFenced(const Dispatch::GroupId &group) override;
+    void groupFenced(const Dispatch::GroupId &group, bool wasAccepted) override;
     void groupClaimed(const Dispatch::GroupId &group, Dispatch::FencingToken token) override;
     void groupLost(const Dispatch::GroupId &group) override;
     void groupOwnerChanged(const Dispatch::GroupId &group) override;
     void peerLost(const Base::DaemonId &peer) override;
+    void probeGroup(const Dispatch::GroupId &group) override;
     bool sendToOwner(const Dispatch::GroupId &group, const Wire::Message &message) override;
 
     void post(std::function<void()> action);
