--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -81,6 +81,17 @@
     job.request = std::move(request);
     ++m_counters.accepted;
     const auto it = m_jobs.emplace(id, std::move(job)).first;
+    std::uint32_t tasks = 0;
+    for (const StepSpec &step : it->second.request.spec.steps)
+        tasks += step.count;
+    Base::log(LogLevel::Info, "jobAccepted",
+              {{"job", id},
+               {"queue", it->second.request.policy.queue},
+               {"tasks", tasks},
+               {"chain", chain},
+               {"objective", objective},
+               {"timeLeft", it->second.request.timeLeft},
+               {"expectedWait", *wait}});
     placeWaiting(id, it->second);
 }
 
