Dispatch: a claim that crosses a report starts nothing; dropped tasks are claimed again

An owner took a peer for lost because of a statement from before the cut, stopped its tasks and reported them as lost; the peer's claim crossed that report, and owner and coordinator both started the task again. Change: tasks of a lost coordinator are dropped without a report and claimed again by their coordinator, which learns of the drop from the owner's state; a claim of a run whose end was reported gets that report once more; a peer counts as deaf only after it was heard for a second. Ruled out: an order between claims and reports by sequence numbers of both directions (more state).

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -107,20 +107,12 @@
 {
     const TaskId id{JobId(order->batch.job), order->batch.occurrence, order->batch.step,
                     entry.index};
-    const auto ended = m_ended.find(id);
+    if (reportKnownEnd(from, id, entry))
+        return;
     std::uint64_t nextRun = entry.minRun;
-    if (ended != m_ended.end()) {
-        const bool isKnownResult =
-            ended->second.end == RunEnd::Done || ended->second.end == RunEnd::Failed;
-        if (isKnownResult && ended->second.run.value() >= entry.minRun) {
-            report(from, id, ended->second.run,
-                   ended->second.end == RunEnd::Done ? TaskReportState::Done
-                                                     : TaskReportState::Failed,
-                   {});
-            return;
-        }
+    const auto ended = m_ended.find(id);
+    if (ended != m_ended.end())
         nextRun = std::max(nextRun, ended->second.run.value() + 1);
-    }
     if (attachTask(from, order, id, entry.minRun))
         return;
     Task task;
@@ -139,6 +131,39 @@
     enqueue(id, added);
 }
 
+static TaskReportState reportStateOf(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return TaskReportState::Done;
+    case RunEnd::Failed:
+        return TaskReportState::Failed;
+    case RunEnd::Stopped:
+    case RunEnd::Lapsed:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        break;
+    }
+    return TaskReportState::Lost;
+}
+
+/// A claim may cross the report of the run's end. Starting the task again would then run it twice,
+/// since the coordinator may have sent it elsewhere on that report.
+bool ExecutorGroup::reportKnownEnd(const Base::DaemonId &from, const TaskId &id,
+                                   const Wire::BatchTask &entry)
+{
+    const auto it = m_ended.find(id);
+    if (it == m_ended.end() || it->second.run.value() < entry.minRun)
+        return false;
+    const TaskReportState state = reportStateOf(it->second.end);
+    const bool isCrossing = entry.mayHaveStarted && it->second.isReported;
+    if (state == TaskReportState::Lost && !isCrossing)
+        return false;
+    it->second.isReported = true;
+    report(from, id, it->second.run, state, {});
+    return true;
+}
+
 bool ExecutorGroup::attachTask(const Base::DaemonId &from,
                                const std::shared_ptr<const Order> &order, const TaskId &id,
                                std::uint64_t minRun)
@@ -154,17 +179,16 @@
     }
     task.order = order;
     task.nextRun = std::max(task.nextRun, minRun);
-    if (task.state != TaskState::OnExecutor) {
-        task.isCancelled = false;
+    if (task.state != TaskState::OnExecutor)
         return true;
-    }
     const ExecutorLedger *executor = ledger(task.executor);
     EP_ASSERT(executor, return true);
     const auto run = executor->runs().find(id);
     EP_ASSERT(run != executor->runs().end(), return true);
     if (run->second.state == RunState::Running)
         report(from, id, run->second.number, TaskReportState::Started, task.executor);
-    // A run that is being stopped ends as lost, and the coordinator then asks for a new one.
+    // If its run is being stopped, the task is started again after the end of that run.
+    task.isCancelled = false;
     return true;
 }
 
@@ -375,22 +399,21 @@
     placeQueued();
 }
 
-/// The task has no run any more. \a isNewRun: the run that ended may have been started, so the
-/// coordinator decides whether there is another one.
+/// The task has no run any more. \a isNewRun: the run may have been started, so the coordinator
+/// decides whether there is another one.
 void ExecutorGroup::requeue(const TaskId &id, bool isNewRun)
 {
     const auto it = m_tasks.find(id);
     if (it == m_tasks.end())
         return;
     Task &task = it->second;
-    if (task.isCancelled) {
-        finishTask(id, RunNumber(task.nextRun - 1), TaskReportState::Lost, task.executor);
-        return;
-    }
-    if (isNewRun) {
+    // A task that was dropped and claimed again goes on here; no report of its end was sent.
+    const bool isClaimedAgain = task.isDropped && !task.isCancelled;
+    if ((isNewRun && !isClaimedAgain) || task.isCancelled) {
         finishTask(id, RunNumber(task.nextRun - 1), TaskReportState::Lost, task.executor);
         return;
     }
+    task.isDropped = false;
     enqueue(id, task);
 }
 
@@ -596,7 +619,7 @@
 {
     const auto known = m_ended.find(end.task);
     if (known == m_ended.end() || known->second.run <= end.run)
-        m_ended[end.task] = {end.run, end.end, m_timers.now()};
+        m_ended[end.task] = {end.run, end.end, m_timers.now(), false};
     Base::log(LogLevel::Debug, "endListed",
               {{"task", toString(end.task)},
                {"run", end.run},
@@ -614,20 +637,19 @@
     switch (end.end) {
     case RunEnd::Done:
         ++m_counters.done;
-        finishTask(end.task, end.run, TaskReportState::Done, executor.info().id);
-        return;
+        break;
     case RunEnd::Failed:
         ++m_counters.failed;
-        finishTask(end.task, end.run, TaskReportState::Failed, executor.info().id);
-        return;
+        break;
     case RunEnd::Stopped:
     case RunEnd::Lapsed:
     case RunEnd::Broken:
     case RunEnd::Alone:
         ++m_counters.lost;
-        finishTask(end.task, end.run, TaskReportState::Lost, executor.info().id);
+        requeue(end.task, true);
         return;
     }
+    finishTask(end.task, end.run, reportStateOf(end.end), executor.info().id);
 }
 
 void ExecutorGroup::learnFromEnd(ExecutorLedger &executor, const TaskId &id, const Run &run,
@@ -662,6 +684,7 @@
     const bool wasClaimed = run->isClaimed;
     Base::log(LogLevel::Info, "runGone",
               {{"task", toString(id)}, {"run", run->number}, {"executor", executor.info().id}});
+    m_ended[id] = {run->number, RunEnd::Lapsed, m_timers.now(), false};
     executor.runs().erase(id);
     changed();
     ++m_counters.lost;
@@ -677,6 +700,7 @@
                {"lifetime", lifetime}});
     std::vector<TaskId> lost;
     for (const auto &[task, run] : executor.runs()) {
+        m_ended[task] = {run.number, RunEnd::Lapsed, m_timers.now(), false};
         if (run.isClaimed)
             lost.push_back(task);
     }
@@ -690,6 +714,22 @@
     flushReports();
 }
 
+void ExecutorGroup::cancelTask(const TaskId &id, Task &task)
+{
+    task.isCancelled = true;
+    if (task.state != TaskState::OnExecutor) {
+        finishTask(id, RunNumber(), TaskReportState::Returned, {});
+        return;
+    }
+    ExecutorLedger *executor = ledger(task.executor);
+    EP_ASSERT(executor, return);
+    Run *run = executor->find(id);
+    EP_ASSERT(run, return);
+    // A start under way is stopped when it is answered.
+    if (run->state == RunState::Running)
+        stopRun(*executor, id, *run);
+}
+
 void ExecutorGroup::stopJob(const Base::DaemonId &from, const JobId &job)
 {
     std::vector<TaskId> ids;
@@ -698,37 +738,30 @@
         if (it->second.coordinator == from)
             ids.push_back(it->first);
     }
-    for (const TaskId &it : ids) {
-        Task &task = m_tasks.at(it);
-        if (task.state != TaskState::OnExecutor) {
-            finishTask(it, RunNumber(), TaskReportState::Returned, {});
-            continue;
-        }
-        task.isCancelled = true;
-        ExecutorLedger *executor = ledger(task.executor);
-        EP_ASSERT(executor, continue);
-        Run *run = executor->find(it);
-        EP_ASSERT(run, continue);
-        if (run->state == RunState::Running)
-            stopRun(*executor, it, *run);
-    }
+    for (const TaskId &it : ids)
+        cancelTask(it, m_tasks.at(it));
     placeQueued();
     flushReports();
 }
 
 void ExecutorGroup::coordinatorLost(const Base::DaemonId &daemon)
 {
-    std::set<JobId> jobs;
+    std::vector<TaskId> ids;
     for (const auto &[id, task] : m_tasks) {
         if (task.coordinator == daemon)
-            jobs.insert(id.job);
+            ids.push_back(id);
     }
-    if (!jobs.empty())
+    if (!ids.empty())
         Base::log(LogLevel::Warning, "coordinatorLost",
-                  {{"daemon", daemon}, {"jobs", jobs.size()}});
-    for (const JobId &it : jobs)
-        stopJob(daemon, it);
+                  {{"daemon", daemon}, {"tasks", ids.size()}});
+    for (const TaskId &it : ids) {
+        Task &task = m_tasks.at(it);
+        task.isDropped = true;
+        cancelTask(it, task);
+    }
     m_batchesSeen.erase(daemon);
+    placeQueued();
+    flushReports();
 }
 
 void ExecutorGroup::finishTask(const TaskId &id, RunNumber run, TaskReportState state,
@@ -739,7 +772,12 @@
         return;
     m_queue.remove(id);
     m_awaitingLook.erase(id);
-    report(it->second.coordinator, id, run, state, executor);
+    if (!it->second.isDropped || state == TaskReportState::Done) {
+        report(it->second.coordinator, id, run, state, executor);
+        const auto ended = m_ended.find(id);
+        if (ended != m_ended.end() && ended->second.run == run)
+            ended->second.isReported = true;
+    }
     m_tasks.erase(it);
     changed();
 }
@@ -803,14 +841,10 @@
         Task &task = m_tasks.at(it);
         const auto ended = m_ended.find(it);
         const bool isKnownResult = ended != m_ended.end()
-                                   && (ended->second.end == RunEnd::Done
-                                       || ended->second.end == RunEnd::Failed)
+                                   && reportStateOf(ended->second.end) != TaskReportState::Lost
                                    && ended->second.run.value() >= task.nextRun;
         if (isKnownResult) {
-            finishTask(it, ended->second.run,
-                       ended->second.end == RunEnd::Done ? TaskReportState::Done
-                                                         : TaskReportState::Failed,
-                       {});
+            finishTask(it, ended->second.run, reportStateOf(ended->second.end), {});
             continue;
         }
         if (ended != m_ended.end())
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -56,8 +56,8 @@
 
     void submit(const Base::DaemonId &from, const Wire::TaskBatch &batch);
     void stopJob(const Base::DaemonId &from, const JobId &job);
-    /// Stops and drops all tasks of \a daemon: nobody waits for them, and its callers send their
-    /// jobs again elsewhere.
+    /// Stops and drops all tasks of \a daemon without a report: it is lost, or has lost touch, and its
+    /// callers send their jobs again elsewhere. If it is still there, it claims its tasks again.
     void coordinatorLost(const Base::DaemonId &daemon);
 
     /// Load for \a recipient, or nothing if a report is not due.
@@ -93,6 +93,7 @@
         TaskState state = TaskState::Queued;
         ExecutorId executor; // if OnExecutor; if AwaitingLook, where an earlier owner started it
         bool isCancelled = false;
+        bool isDropped = false; // cancelled, and to be forgotten without a report
         bool wasStarted = false;
         Base::TimePoint queuedAt;
     };
@@ -102,6 +103,7 @@
         RunNumber run;
         RunEnd end = RunEnd::Done;
         Base::TimePoint time;
+        bool isReported = false; // to a coordinator, which may then have started it elsewhere
     };
 
     using LedgerMap = std::map<ExecutorId, ExecutorLedger>;
@@ -109,6 +111,8 @@
     ExecutorLedger *ledger(const ExecutorId &id);
     void submitTask(const Base::DaemonId &from, const std::shared_ptr<const Order> &order,
                     const Wire::BatchTask &entry);
+    bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
+    void cancelTask(const TaskId &id, Task &task);
     bool claimFoundRun(const TaskId &id, const Task &task);
     bool attachTask(const Base::DaemonId &from, const std::shared_ptr<const Order> &order,
                     const TaskId &id, std::uint64_t minRun);
--- a/src/libs/dispatch/grouprights.cpp
+++ b/src/libs/dispatch/grouprights.cpp
@@ -67,6 +67,7 @@
     if (!isNew && p.incarnation != incarnation && !p.isLost) {
         // It restarted before its silence was noticed. Its claims are those of its earlier run.
         p.isLost = true;
+        ++p.dropped;
         for (auto &[id, group] : m_groups) {
             if (group.claim && group.claim->owner == peer)
                 group.claim->confirmed = {};
@@ -75,14 +76,19 @@
     }
     if (isNew || p.isLost)
         Base::log(LogLevel::Info, "peerHeard", {{"peer", peer}, {"incarnation", incarnation}});
+    const Base::TimePoint now = m_timers.now();
+    if (now - p.heard > Constants::PEER_SILENCE_MS)
+        p.heardSince = now;
     p.domain = domain;
     p.incarnation = incarnation;
-    p.heard = m_timers.now();
+    p.heard = now;
     p.heardAgo = std::chrono::milliseconds(state.heardAgoMs);
     p.isDraining = state.draining;
     p.isLost = false;
     for (const Wire::GroupClaim &it2 : state.claims)
         mergeClaim(it2);
+    if (std::exchange(p.droppedByPeer, state.dropped) != state.dropped)
+        m_listener.tasksDropped(peer);
 }
 
 void GroupRights::peerBroken(const Base::DaemonId &peer)
@@ -270,9 +276,12 @@
     std::vector<Base::DaemonId> lost;
     for (auto &[id, peer] : m_peers) {
         // A daemon that hears nothing from this one counts as lost as well: it treats this one so.
-        const bool isDeaf = peer.heardAgo > Constants::PEER_SILENCE_MS;
+        // Right after a cut its statement is of the time before.
+        const bool isDeaf = peer.heardAgo > Constants::PEER_SILENCE_MS
+                            && now - peer.heardSince > Constants::PEER_SILENCE_MS * 2;
         if (!peer.isLost && (!isAlive(id) || isDeaf)) {
             peer.isLost = true;
+            ++peer.dropped;
             lost.push_back(id);
             Base::log(LogLevel::Warning, "peerLost",
                       {{"peer", id}, {"silence", now - peer.heard}, {"heardAgo", peer.heardAgo}});
@@ -311,6 +320,7 @@
     state.draining = m_isDraining;
     const auto it = m_peers.find(peer);
     state.heardAgoMs = it == m_peers.end() ? 0 : age(it->second.heard);
+    state.dropped = it == m_peers.end() ? 0 : it->second.dropped;
     for (const auto &[id, group] : m_groups) {
         if (group.claim && isClaimValid(group)) {
             state.claims.push_back({id.value(), group.claim->owner.value(),
--- a/src/libs/dispatch/grouprights.h
+++ b/src/libs/dispatch/grouprights.h
@@ -22,6 +22,8 @@
     virtual void groupOwnerChanged(const GroupId &group) = 0;
     /// A peer is silent, restarted, or receives nothing from this daemon.
     virtual void peerLost(const Base::DaemonId &peer) = 0;
+    /// \a peer has dropped the tasks of this daemon, or restarted.
+    virtual void tasksDropped(const Base::DaemonId &peer) = 0;
     /// Finds out how many executors of \a group can be reached and calls probed() later.
     virtual void probeGroup(const GroupId &group) = 0;
 };
@@ -75,10 +77,13 @@
         Base::FailureDomainId domain;
         Base::Incarnation incarnation;
         Base::TimePoint heard;
+        Base::TimePoint heardSince; // heard without a gap since then
         Base::TimePoint broken; // when its connection broke; before heard if it did not
         Base::Duration heardAgo{0}; // as of heard: since the peer heard from this daemon
         bool isDraining = false;
         bool isLost = false;
+        std::uint64_t dropped = 0;        // how often its tasks were dropped here
+        std::uint64_t droppedByPeer = 0;  // how often it dropped this daemon's
         Base::TimePoint resetTime;
     };
 
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -165,9 +165,10 @@
     bool draining = false;
     std::uint64_t heardAgoMs = 0; // since the sender heard from the recipient
     std::uint64_t connection = 0; // how often the sender has connected to the recipient
+    std::uint64_t dropped = 0;    // how often the sender dropped the recipient's tasks as lost
     std::vector<GroupClaim> claims;
 
-    MSGPACK_DEFINE(draining, heardAgoMs, connection, claims)
+    MSGPACK_DEFINE(draining, heardAgoMs, connection, dropped, claims)
 };
 
 /// Free room of one executor.
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -286,6 +286,11 @@
         group->coordinatorLost(peer);
 }
 
+void DispatchServiceImpl::tasksDropped(const Base::DaemonId &peer)
+{
+    claimTasksAt(peer);
+}
+
 void DispatchServiceImpl::sendStates()
 {
     m_lastStates = m_runtime.timers.now();
--- a/src/plugins/dispatchservice/dispatchservice.h
+++ b/src/plugins/dispatchservice/dispatchservice.h
@@ -53,6 +53,7 @@
     void groupLost(const Dispatch::GroupId &group) override;
     void groupOwnerChanged(const Dispatch::GroupId &group) override;
     void peerLost(const Base::DaemonId &peer) override;
+    void tasksDropped(const Base::DaemonId &peer) override;
     void probeGroup(const Dispatch::GroupId &group) override;
     bool sendToOwner(const Dispatch::GroupId &group, const Wire::Message &message) override;
 
