--- a/src/app/endivepathd/platformdaemon.cpp
+++ b/src/app/endivepathd/platformdaemon.cpp
@@ -70,10 +70,10 @@
                    std::make_unique<Telemetry::TelemetryService>(m_runtime, EVENT_CAPACITY));
     m_registry.add(Names::PEER_LINK,
                    std::make_unique<PeerLink::PeerLinkService>(m_runtime, linkOptions()));
-    m_registry.add(Names::DISPATCH, std::make_unique<DispatchService::DispatchServiceImpl>(
-                                        m_runtime, *m_executors));
-    m_registry.add(Names::PLATFORM, std::make_unique<Platform::PlatformService>(
-                                        m_runtime, m_settings, m_storeHttp));
+    m_registry.add(Names::DISPATCH,
+                   std::make_unique<DispatchService::DispatchServiceImpl>(m_runtime, *m_executors));
+    m_registry.add(Names::PLATFORM,
+                   std::make_unique<Platform::PlatformService>(m_runtime, m_settings, m_storeHttp));
 }
 
 absl::Status PlatformDaemon::run()
@@ -116,7 +116,8 @@
 
 void PlatformDaemon::reload()
 {
-    // Addresses and identity hold for the life of the process; what may change comes from the store.
+    // Addresses and identity hold for the life of the process; what may change comes from the
+    // store.
     const bool isValid = readPlatformSettings(m_settingsPath).has_value();
     Base::log(Base::LogLevel::Info, "settingsReloaded", {{"valid", isValid ? 1 : 0}});
 }
--- a/src/app/endivepathd/platformdaemon.h
+++ b/src/app/endivepathd/platformdaemon.h
@@ -4,9 +4,9 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <base/asiotimers.h>
+#include <dispatch/executorport.h>
 #include <http/client.h>
 #include <kernel/serviceregistry.h>
-#include <dispatch/executorport.h>
 #include <platform/platformsettings.h>
 #include <settings/runtime.h>
 
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -25,6 +25,12 @@
 constexpr milliseconds END_MEMORY_MS{15000};
 /// Added to the run number after a refusal as old: an earlier owner may have used more runs.
 constexpr std::uint64_t RUN_NUMBER_STEP = 8;
+/// Daemons learn of a changed registration within this time of each other: their pause between
+/// reads of the store is half of it.
+constexpr milliseconds LIST_SETTLING_MS{1000};
+/// A new owner looks at executors that only the earlier owner knew for this long: longer than a
+/// lease.
+constexpr milliseconds CLAIM_MEMBERS_MS{3000};
 /// Period of lease, straggler and time-out checks.
 constexpr milliseconds TICK_MS{50};
 /// Least time between two load reports of a group.
@@ -32,8 +38,8 @@
 /// A load report is repeated after this even if nothing has changed.
 constexpr milliseconds LOAD_REPEAT_MS{1000};
 
-/// A run is given up when it exceeds its estimate by this factor, at the executor's speed. Estimates
-/// are off by a factor of e^0.4 at one standard deviation; 4 is beyond three of them.
+/// A run is given up when it exceeds its estimate by this factor, at the executor's speed.
+/// Estimates are off by a factor of e^0.4 at one standard deviation; 4 is beyond three of them.
 constexpr double STRAGGLER_FACTOR = 4;
 constexpr milliseconds STRAGGLER_MIN_MS{250};
 
@@ -53,6 +59,8 @@
 constexpr milliseconds CLAIM_START_DELAY_MS{350};
 /// Two checks further apart than this mean that the process was paused: four periods.
 constexpr milliseconds PAUSE_MS{200};
+/// Messages that waited through a pause have been read by this time after it.
+constexpr milliseconds STALE_MESSAGES_MS{150};
 /// Each further candidate waits this much longer before it claims.
 constexpr milliseconds CLAIM_RANK_DELAY_MS{300};
 /// A daemon of the group's own domain takes the group back after it has been up for this long.
@@ -61,8 +69,8 @@
 constexpr std::uint64_t ROUND_STEP = 64;
 /// Rounds of a daemon that starts begin this much above those of the daemon registered before it.
 constexpr std::uint64_t ROUNDS_PER_DAEMON = 1024;
-/// Low bits of a token that tell daemons apart. Tokens stay below 2^53, which JSON numbers can hold,
-/// up to daemon number 2^27.
+/// Low bits of a token that tell daemons apart. Tokens stay below 2^53, which JSON numbers can
+/// hold, up to daemon number 2^27.
 constexpr int TOKEN_DAEMON_BITS = 16;
 
 /// Wait before the next claim of a group from which this daemon was fenced; doubles each time. The
--- /dev/null
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -0,0 +1,377 @@
+// Messages between the parts, and their timers.
+#include "dispatchnode.h"
+
+#include "dispatchconstants.h"
+
+#include <base/log.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Dispatch {
+
+DispatchNode::DispatchNode(Base::DaemonId self, Base::FailureDomainId domain, Base::Timers &timers,
+                           ExecutorPort &executors, Wire::PeerPort &peers)
+    : m_self(std::move(self))
+    , m_timers(timers)
+    , m_port(executors)
+    , m_peers(peers)
+    , m_rights(m_self, domain, timers, *this)
+    , m_directory(domain)
+    , m_jobs(timers, m_directory, *this)
+{}
+
+DispatchNode::~DispatchNode()
+{
+    *m_isAlive = false;
+}
+
+void DispatchNode::start()
+{
+    m_lastTick = m_timers.now();
+    tick();
+}
+
+void DispatchNode::post(std::function<void()> action)
+{
+    m_timers.schedule(Base::Duration(0), [alive = m_isAlive, action = std::move(action)] {
+        if (*alive)
+            action();
+    });
+}
+
+static std::set<ExecutorId> idsOf(const std::vector<ExecutorInfo> &executors)
+{
+    std::set<ExecutorId> ids;
+    for (const ExecutorInfo &it : executors)
+        ids.insert(it.id);
+    return ids;
+}
+
+void DispatchNode::setExecutors(const std::vector<ExecutorInfo> &executors)
+{
+    std::map<GroupId, Base::FailureDomainId> groups;
+    std::map<GroupId, std::vector<ExecutorInfo>> lists;
+    for (const auto &[id, list] : m_executors)
+        lists[id]; // a group without executors stays known
+    for (const ExecutorInfo &it : executors) {
+        const GroupId group(it.domain.value());
+        groups.emplace(group, it.domain);
+        lists[group].push_back(it);
+    }
+    for (const auto &[id, list] : lists) {
+        if (idsOf(list) != idsOf(m_executors[id]))
+            m_listChanged[id] = m_timers.now();
+    }
+    m_executors = std::move(lists);
+    m_rights.setGroups(groups);
+    m_directory.setGroups(groups);
+    for (auto &[id, group] : m_owned)
+        updateGroup(id, *group);
+}
+
+/// Passes the registered executors on, and those that only the last owner knew: these are looked
+/// at, which bars them for that owner, and get no work.
+void DispatchNode::updateGroup(const GroupId &id, ExecutorGroup &group)
+{
+    std::vector<ExecutorInfo> executors = m_executors[id];
+    const std::set<ExecutorId> known = idsOf(executors);
+    const auto members = m_members.find(id);
+    const bool isFresh = m_timers.now() - group.claimed() < Constants::CLAIM_MEMBERS_MS;
+    if (members != m_members.end() && isFresh) {
+        for (const Wire::GroupMember &it : members->second.members) {
+            if (known.contains(ExecutorId(it.id)))
+                continue;
+            ExecutorInfo executor;
+            executor.id = ExecutorId(it.id);
+            executor.address = it.address;
+            executor.service = ServiceId(it.service);
+            executor.lifetime = Lifetime(it.lifetime);
+            executor.draining = true;
+            executors.push_back(executor);
+        }
+    }
+    group.setExecutors(executors, m_listChanged[id]);
+    sendMembers(id);
+}
+
+void DispatchNode::sendMembers(const GroupId &id)
+{
+    const auto group = m_owned.find(id);
+    if (group == m_owned.end())
+        return;
+    Wire::GroupMembers message;
+    message.group = id.value();
+    message.token = group->second->token().value();
+    for (const ExecutorInfo &it : m_executors[id])
+        message.members.push_back(
+            {it.id.value(), it.address, it.service.value(), it.lifetime.value()});
+    for (const auto &[peer, connections] : m_connections) {
+        if (m_peers.isConnected(peer))
+            m_peers.send(peer, message);
+    }
+}
+
+bool DispatchNode::canServe() const
+{
+    for (const auto &[id, list] : m_executors) {
+        if (!list.empty() && m_rights.owner(id))
+            return true;
+    }
+    return false;
+}
+
+void DispatchNode::peerMessageReceived(const Wire::PeerIdentity &from, const Wire::Message &message)
+{
+    if (const auto *state = std::get_if<Wire::DispatchState>(&message))
+        stateReceived(from, *state);
+    else
+        handleMessage(from.daemon, message);
+}
+
+void DispatchNode::stateReceived(const Wire::PeerIdentity &from, const Wire::DispatchState &state)
+{
+    m_rights.peerHeard(from.daemon, from.domain, from.incarnation, state);
+    const auto connection = std::pair(from.incarnation, state.connection);
+    auto &known = m_peerConnections[from.daemon];
+    if (known == connection)
+        return;
+    // Reports that were under way on the peer's earlier connection may be lost.
+    known = connection;
+    claimTasksAt(from.daemon);
+}
+
+void DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections)
+{
+    Wire::DispatchState state = m_rights.stateFor(peer);
+    state.connection = connections;
+    m_peers.send(peer, state);
+}
+
+void DispatchNode::peerConnected(const Wire::PeerIdentity &peer)
+{
+    sendState(peer.daemon, ++m_connections[peer.daemon]);
+    for (const auto &[id, group] : m_owned)
+        sendMembers(id);
+    claimTasksAt(peer.daemon);
+}
+
+void DispatchNode::peerDisconnected(const Wire::PeerIdentity &peer)
+{
+    m_rights.peerBroken(peer.daemon);
+}
+
+void DispatchNode::claimTasksAt(const Base::DaemonId &owner)
+{
+    for (const auto &[id, list] : m_executors) {
+        if (m_rights.owner(id) == owner)
+            m_jobs.claimTasks(id);
+    }
+}
+
+void DispatchNode::handleMessage(const Base::DaemonId &from, const Wire::Message &message)
+{
+    if (const auto *load = std::get_if<Wire::GroupLoad>(&message)) {
+        m_directory.loadReceived(*load);
+    } else if (const auto *batch = std::get_if<Wire::TaskBatch>(&message)) {
+        // A daemon that is not the owner any more stays silent; the sender claims the tasks from
+        // the owner as soon as it hears of it.
+        const auto it = m_owned.find(GroupId(batch->group));
+        if (it == m_owned.end())
+            return;
+        if (from != m_self && (areMessagesStale() || !m_rights.isAlive(from))) {
+            m_rights.noteDropped(from);
+            return;
+        }
+        it->second->submit(from, *batch);
+    } else if (const auto *reports = std::get_if<Wire::TaskReports>(&message)) {
+        if (m_rights.owner(GroupId(reports->group)) == from)
+            m_jobs.reportsReceived(*reports);
+    } else if (const auto *members = std::get_if<Wire::GroupMembers>(&message)) {
+        Wire::GroupMembers &known = m_members[GroupId(members->group)];
+        if (members->token >= known.token)
+            known = *members;
+    } else if (const auto *stop = std::get_if<Wire::StopJob>(&message)) {
+        const auto it = m_owned.find(GroupId(stop->group));
+        if (it != m_owned.end())
+            it->second->stopJob(from, JobId(stop->job));
+    }
+}
+
+/// A batch that waited here through a pause may be of a daemon that has been lost since, whose
+/// callers have sent their jobs to others.
+bool DispatchNode::areMessagesStale() const
+{
+    const Base::TimePoint now = m_timers.now();
+    return now < m_staleUntil || now - m_lastTick > Constants::PAUSE_MS;
+}
+
+void DispatchNode::tasksReported(const Base::DaemonId &coordinator,
+                                 const Wire::TaskReports &reports)
+{
+    if (coordinator == m_self) {
+        post([this, reports] { handleMessage(m_self, reports); });
+        return;
+    }
+    // A report that can't be sent is asked for again when the connection is back.
+    m_peers.send(coordinator, reports);
+}
+
+bool DispatchNode::sendToOwner(const GroupId &group, const Wire::Message &message)
+{
+    const auto owner = m_rights.owner(group);
+    if (!owner)
+        return false;
+    if (*owner == m_self) {
+        post([this, message] { handleMessage(m_self, message); });
+        return true;
+    }
+    return m_peers.send(*owner, message);
+}
+
+void DispatchNode::groupFenced(const GroupId &group, bool wasAccepted)
+{
+    post([this, group, wasAccepted] { m_rights.fenced(group, wasAccepted); });
+}
+
+/// The lowest token shows whether an executor answers, and changes nothing there.
+void DispatchNode::probeGroup(const GroupId &group)
+{
+    struct Probe
+    {
+        std::size_t asked = 0;
+        std::size_t answered = 0;
+        std::size_t reached = 0;
+        bool isDone = false;
+    };
+    const std::vector<ExecutorInfo> &executors = m_executors[group];
+    const auto probe = std::make_shared<Probe>();
+    probe->asked = std::min(executors.size(), Constants::PROBE_SIZE);
+    if (probe->asked == 0) {
+        post([this, group] { m_rights.probed(group, false); });
+        return;
+    }
+    for (std::size_t i = 0; i < probe->asked; ++i) {
+        // Spread over the whole list, since neighbours share a rack.
+        const ExecutorInfo &executor = executors[i * executors.size() / probe->asked];
+        m_port.hold(executor, {},
+                    [this, alive = m_isAlive, group, probe](const HoldResult &result) {
+                        if (!*alive)
+                            return;
+                        const OrderOutcome outcome = result.order.outcome;
+                        if (outcome != OrderOutcome::Unknown && outcome != OrderOutcome::NotSent) {
+                            ++probe->reached;
+                        }
+                        ++probe->answered;
+                        const bool isReachable = probe->reached * 2 > probe->asked;
+                        if (probe->isDone || (!isReachable && probe->answered < probe->asked))
+                            return;
+                        probe->isDone = true;
+                        m_rights.probed(group, isReachable);
+                    });
+    }
+}
+
+void DispatchNode::groupClaimed(const GroupId &id, FencingToken token)
+{
+    auto group = std::make_unique<ExecutorGroup>(id, token, m_timers, m_port,
+                                                 static_cast<GroupListener &>(*this));
+    ExecutorGroup &added = *group;
+    auto &slot = m_owned[id];
+    if (slot) {
+        slot->retire();
+        m_retired.push_back(std::move(slot));
+        post([this] { m_retired.clear(); });
+    }
+    slot = std::move(group);
+    updateGroup(id, added);
+    sendStates();
+}
+
+void DispatchNode::groupLost(const GroupId &id)
+{
+    const auto it = m_owned.find(id);
+    if (it == m_owned.end())
+        return;
+    Base::log(Base::LogLevel::Info, "groupLost", {{"group", id}, {"token", it->second->token()}});
+    it->second->retire();
+    m_retired.push_back(std::move(it->second));
+    m_owned.erase(it);
+    post([this] { m_retired.clear(); });
+}
+
+void DispatchNode::groupOwnerChanged(const GroupId &group)
+{
+    m_directory.forgetLoad(group);
+    m_jobs.claimTasks(group);
+}
+
+void DispatchNode::peerLost(const Base::DaemonId &peer)
+{
+    for (const auto &[id, group] : m_owned)
+        group->coordinatorLost(peer);
+}
+
+void DispatchNode::tasksDropped(const Base::DaemonId &peer)
+{
+    claimTasksAt(peer);
+}
+
+void DispatchNode::sendStates()
+{
+    m_lastStates = m_timers.now();
+    for (const auto &[peer, connections] : m_connections) {
+        if (m_peers.isConnected(peer))
+            sendState(peer, connections);
+    }
+    for (const Base::DaemonId &it : m_rights.peersToReset())
+        m_peers.resetConnection(it);
+}
+
+void DispatchNode::sendLoads()
+{
+    for (const auto &[id, group] : m_owned) {
+        if (!group->isLoadReportDue())
+            continue;
+        for (const auto &[peer, connections] : m_connections) {
+            if (m_peers.isConnected(peer))
+                m_peers.send(peer, group->loadFor(peer));
+        }
+        m_directory.loadReceived(group->loadFor(m_self));
+        group->loadReported();
+    }
+}
+
+void DispatchNode::tick()
+{
+    m_tickTimer = m_timers.schedule(Constants::LOAD_REPORT_MS, [this] { tick(); });
+    sendLoads();
+    // Loads go out with every call, the rest with every second one.
+    if (m_timers.now() - m_lastTick < Constants::TICK_MS - Constants::LOAD_REPORT_MS / 2)
+        return;
+    if (m_timers.now() - m_lastTick > Constants::PAUSE_MS)
+        m_staleUntil = m_timers.now() + Constants::STALE_MESSAGES_MS;
+    m_lastTick = m_timers.now();
+    m_rights.tick();
+    for (const auto &[id, group] : m_owned)
+        group->tick();
+    m_jobs.tick();
+    if (m_timers.now() - m_lastStates >= Constants::HEARTBEAT_MS - Constants::TICK_MS / 2)
+        sendStates();
+}
+
+void DispatchNode::beginDrain()
+{
+    m_rights.setDraining();
+    sendStates();
+}
+
+void DispatchNode::stop()
+{
+    m_timers.cancel(m_tickTimer);
+    *m_isAlive = false;
+    m_owned.clear();
+}
+
+} // namespace Dispatch
--- a/src/libs/dispatch/dispatchtypes.h
+++ b/src/libs/dispatch/dispatchtypes.h
@@ -84,11 +84,11 @@
 struct StepSpec
 {
     std::uint32_t count = 0;
-    Resources shape;               // of one task
-    Base::Duration estimate{0};    // rough run time of one task
+    Resources shape;                  // of one task
+    Base::Duration estimate{0};       // rough run time of one task
     std::vector<std::uint32_t> after; // earlier steps that must be done first
-    std::string requiredLabel;     // empty: any executor
-    std::string preferredRack;     // empty: none
+    std::string requiredLabel;        // empty: any executor
+    std::string preferredRack;        // empty: none
     std::uint32_t maxPerExecutor = 0; // 0: no bound
 };
 
@@ -99,9 +99,9 @@
     ServiceId service;
     std::uint32_t priority = 0; // 0 comes first
     std::uint32_t maxAttempts = 1;
-    double stretch = 1;                    // factor on the longest chain of run times
-    Base::Duration targetCompletion{0};    // added to it; together they are the objective
-    Base::Duration timeout{0};             // how long a request on the queue may take
+    double stretch = 1;                 // factor on the longest chain of run times
+    Base::Duration targetCompletion{0}; // added to it; together they are the objective
+    Base::Duration timeout{0};          // how long a request on the queue may take
 
     bool operator==(const QueuePolicy &) const = default;
 };
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -32,6 +32,7 @@
     , m_port(port)
     , m_listener(listener)
     , m_claimed(timers.now())
+    , m_lastTick(timers.now())
 {}
 
 ExecutorGroup::~ExecutorGroup()
@@ -60,8 +61,10 @@
     return n;
 }
 
-void ExecutorGroup::setExecutors(const std::vector<ExecutorInfo> &executors)
+void ExecutorGroup::setExecutors(const std::vector<ExecutorInfo> &executors,
+                                 Base::TimePoint changed)
 {
+    m_listChanged = changed;
     for (auto &[id, executor] : m_ledgers)
         executor.isRegistered = false;
     for (const ExecutorInfo &it : executors) {
@@ -80,7 +83,7 @@
     std::erase_if(m_ledgers, [](const auto &it) {
         return !it.second.isRegistered && it.second.runs().empty();
     });
-    changed();
+    m_isLoadChanged = true;
     placeQueued();
 }
 
@@ -107,14 +110,12 @@
 {
     const TaskId id{JobId(order->batch.job), order->batch.occurrence, order->batch.step,
                     entry.index};
-    if (reportKnownEnd(from, id, entry))
+    if (attachTask(from, order, id, entry.minRun) || reportKnownEnd(from, id, entry))
         return;
     std::uint64_t nextRun = entry.minRun;
     const auto ended = m_ended.find(id);
     if (ended != m_ended.end())
         nextRun = std::max(nextRun, ended->second.run.value() + 1);
-    if (attachTask(from, order, id, entry.minRun))
-        return;
     Task task;
     task.coordinator = from;
     task.order = order;
@@ -228,13 +229,15 @@
 {
     if (m_isFenced || m_queue.isEmpty())
         return;
+    // After a pause of this process another daemon may own the group; tick() finds out first.
+    if (m_timers.now() - m_lastTick > Constants::PAUSE_MS)
+        return;
     // Shapes that found no room; a task that needs at least as much finds none either.
     std::vector<std::pair<ServiceId, Resources>> tooBig;
     for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
-        const bool isTooBig =
-            std::any_of(tooBig.begin(), tooBig.end(), [&it](const auto &entry) {
-                return entry.first == it.service && entry.second.fits(it.shape);
-            });
+        const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [&it](const auto &entry) {
+            return entry.first == it.service && entry.second.fits(it.shape);
+        });
         if (isTooBig)
             continue;
         const auto task = m_tasks.find(it.task);
@@ -345,6 +348,7 @@
         return; // its end was listed before the answer arrived
     if (result.outcome == OrderOutcome::Accepted) {
         run->visibleFrom = m_lastHold + 1;
+        run->isConfirmed = true;
         if (run->state == RunState::Starting || run->state == RunState::Unresolved) {
             run->state = RunState::Running;
             run->since = now;
@@ -424,12 +428,12 @@
     run.isStopAccepted = false;
     run.stopSent = now;
     const ExecutorId executorId = executor.info().id;
-    m_port.stopTask(executor.info(), {id, run.number, m_token},
-                    [this, alive = m_isAlive, executorId, id,
-                     number = run.number](const OrderResult &result) {
-                        if (*alive)
-                            stopAnswered(executorId, id, number, result);
-                    });
+    m_port.stopTask(
+        executor.info(), {id, run.number, m_token},
+        [this, alive = m_isAlive, executorId, id, number = run.number](const OrderResult &result) {
+            if (*alive)
+                stopAnswered(executorId, id, number, result);
+        });
 }
 
 void ExecutorGroup::stopAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber number,
@@ -465,8 +469,9 @@
     HoldOrder order;
     order.token = m_token;
     order.seenUpTo = executor.seenUpTo;
-    // Found runs are kept alive too, until their coordinators have had time to claim them.
-    if (!executor.runs().empty()) {
+    // Found runs are kept alive too, until their coordinators have had time to claim them. An
+    // executor that does not answer gets no new lease, so that its runs are certainly over in time.
+    if (!executor.runs().empty() && executor.missedAnswers == 0) {
         order.leaseEnd = executor.nextLeaseEnd(now);
         executor.leaseSent(now);
         if (!isLook)
@@ -554,13 +559,14 @@
         listed.insert(it.task);
         Run *run = executor.find(it.task);
         if (run && run->number == it.run) {
+            run->isConfirmed = true;
             if (run->state == RunState::Starting || run->state == RunState::Unresolved) {
                 const auto task = m_tasks.find(it.task);
                 run->state = RunState::Running;
                 run->visibleFrom = std::min(run->visibleFrom, m_lastHold + 1);
                 if (task != m_tasks.end())
-                    report(task->second.coordinator, it.task, run->number,
-                           TaskReportState::Started, executor.info().id);
+                    report(task->second.coordinator, it.task, run->number, TaskReportState::Started,
+                           executor.info().id);
                 if (task != m_tasks.end() && task->second.isCancelled)
                     stopRun(executor, it.task, *run);
             }
@@ -568,7 +574,9 @@
         }
         // A listing may be older than what is known: the run's end may have been listed since.
         const auto ended = m_ended.find(it.task);
-        if (run || (ended != m_ended.end() && ended->second.run >= it.run))
+        const bool isKnownEnd = ended != m_ended.end() && ended->second.run >= it.run
+                                && ended->second.executor == executor.info().id;
+        if (run || isKnownEnd)
             continue;
         if (executor.isLooked && sequence != m_lastHold)
             continue;
@@ -579,6 +587,7 @@
         found.state = RunState::Running;
         found.since = now;
         found.isClaimed = false;
+        found.isConfirmed = true;
         found.visibleFrom = sequence + 1;
         const auto task = m_tasks.find(it.task);
         if (task != m_tasks.end() && task->second.state != TaskState::OnExecutor) {
@@ -600,7 +609,10 @@
     for (const auto &[task, run] : executor.runs()) {
         if (listed.contains(task) || sequence < run.visibleFrom)
             continue;
-        (run.state == RunState::Unresolved ? notStarted : gone).push_back(task);
+        if (run.isConfirmed || run.isStopAccepted)
+            gone.push_back(task);
+        else if (run.state == RunState::Unresolved)
+            notStarted.push_back(task);
     }
     for (const TaskId &it : gone)
         runGone(executor, it);
@@ -619,7 +631,7 @@
 {
     const auto known = m_ended.find(end.task);
     if (known == m_ended.end() || known->second.run <= end.run)
-        m_ended[end.task] = {end.run, end.end, m_timers.now(), false};
+        m_ended[end.task] = {end.run, end.end, m_timers.now(), executor.info().id, false};
     Base::log(LogLevel::Debug, "endListed",
               {{"task", toString(end.task)},
                {"run", end.run},
@@ -684,7 +696,7 @@
     const bool wasClaimed = run->isClaimed;
     Base::log(LogLevel::Info, "runGone",
               {{"task", toString(id)}, {"run", run->number}, {"executor", executor.info().id}});
-    m_ended[id] = {run->number, RunEnd::Lapsed, m_timers.now(), false};
+    m_ended[id] = {run->number, RunEnd::Lapsed, m_timers.now(), executor.info().id, false};
     executor.runs().erase(id);
     changed();
     ++m_counters.lost;
@@ -700,7 +712,7 @@
                {"lifetime", lifetime}});
     std::vector<TaskId> lost;
     for (const auto &[task, run] : executor.runs()) {
-        m_ended[task] = {run.number, RunEnd::Lapsed, m_timers.now(), false};
+        m_ended[task] = {run.number, RunEnd::Lapsed, m_timers.now(), executor.info().id, false};
         if (run.isClaimed)
             lost.push_back(task);
     }
@@ -811,10 +823,10 @@
     return m_timers.now() >= m_claimed + Constants::LEASE_MS + Constants::LEASE_SLACK_MS;
 }
 
-/// Whether a task that an earlier owner had, and that is in no listing, runs nowhere any more. It was
-/// last reported on \a executor, or not reported as started if that is empty. An executor that this
-/// daemon does not know, for its registration has lapsed or not arrived, may still run it until the
-/// lease of the earlier owner is over.
+/// Whether a task that an earlier owner had, and that is in no listing, runs nowhere any more. It
+/// was last reported on \a executor, or not reported as started if that is empty. An executor that
+/// this daemon does not know, for its registration has lapsed or not arrived, may still run it
+/// until the lease of the earlier owner is over.
 bool ExecutorGroup::isFateKnown(const ExecutorId &executor) const
 {
     if (isLeaseOfEarlierOwnerOver())
@@ -823,8 +835,15 @@
         const auto it = m_ledgers.find(executor);
         return it != m_ledgers.end() && it->second.isLooked;
     }
-    return std::all_of(m_ledgers.begin(), m_ledgers.end(),
-                       [](const auto &it) { return it.second.isLooked; });
+    return isListStable() && std::all_of(m_ledgers.begin(), m_ledgers.end(), [](const auto &it) {
+               return it.second.isLooked;
+           });
+}
+
+/// While registrations come and go, as after a cut, daemons know different executors for a while.
+bool ExecutorGroup::isListStable() const
+{
+    return m_timers.now() - m_listChanged > Constants::LIST_SETTLING_MS;
 }
 
 void ExecutorGroup::releaseAwaitingLook()
@@ -877,10 +896,9 @@
                    && run.state == RunState::Running) {
             stopRun(executor, id, run);
         } else if (run.state == RunState::Running && run.expected.count() > 0) {
-            const Base::Duration limit =
-                std::max<Base::Duration>(Constants::STRAGGLER_MIN_MS,
-                                         std::chrono::duration_cast<Base::Duration>(
-                                             run.expected * Constants::STRAGGLER_FACTOR));
+            const Base::Duration limit = std::max<Base::Duration>(
+                Constants::STRAGGLER_MIN_MS, std::chrono::duration_cast<Base::Duration>(
+                                                 run.expected * Constants::STRAGGLER_FACTOR));
             if (now - run.since < limit)
                 continue;
             ++m_counters.stragglers;
@@ -905,6 +923,12 @@
     if (m_isFenced)
         return;
     const Base::TimePoint now = m_timers.now();
+    if (now - std::exchange(m_lastTick, now) > Constants::PAUSE_MS) {
+        Base::log(LogLevel::Warning, "ownerPaused", {{"group", m_group}, {"token", m_token}});
+        // An executor that restarted meanwhile has forgotten a higher token of another owner.
+        for (auto &[id, executor] : m_ledgers)
+            executor.isLooked = false;
+    }
     for (auto &[id, executor] : m_ledgers) {
         checkRuns(executor);
         if (!executor.isLooked || executor.missedAnswers > 0) {
@@ -919,14 +943,19 @@
     std::erase_if(m_ledgers, [](const auto &it) {
         return !it.second.isRegistered && it.second.runs().empty();
     });
-    std::erase_if(m_ended,
-                  [now](const auto &it) { return now - it.second.time > Constants::END_MEMORY_MS; });
+    std::erase_if(
+        m_ended, [now](const auto &it) { return now - it.second.time > Constants::END_MEMORY_MS; });
     releaseAwaitingLook();
     for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
         const auto task = m_tasks.find(it.task);
         EP_ASSERT(task != m_tasks.end(), continue);
-        if (now >= task->second.order->deadline)
-            finishTask(it.task, RunNumber(), TaskReportState::Returned, {});
+        if (now < task->second.order->deadline)
+            continue;
+        // Without a report: the coordinator ends the job by itself, and a report would cross a
+        // claim.
+        m_queue.remove(it.task);
+        m_tasks.erase(task);
+        changed();
     }
     placeQueued();
     flushReports();
@@ -935,7 +964,8 @@
 bool ExecutorGroup::isLoadReportDue() const
 {
     const Base::Duration age = m_timers.now() - m_lastReport;
-    return (m_isLoadChanged && age >= Constants::LOAD_REPORT_MS) || age >= Constants::LOAD_REPEAT_MS;
+    return (m_isLoadChanged && age >= Constants::LOAD_REPORT_MS)
+           || age >= Constants::LOAD_REPEAT_MS;
 }
 
 void ExecutorGroup::loadReported()
@@ -962,8 +992,8 @@
                                   static_cast<std::uint32_t>(executor.speed() * 100)});
     }
     for (const TaskQueue::Load &it : m_queue.load()) {
-        load.queues.push_back({it.service.value(), it.priority,
-                               static_cast<std::uint64_t>(it.cpuMillisSeconds)});
+        load.queues.push_back(
+            {it.service.value(), it.priority, static_cast<std::uint64_t>(it.cpuMillisSeconds)});
     }
     return load;
 }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -1,5 +1,5 @@
-// Orders the executors of one group: the only daemon that starts, stops and looks at them, under one
-// fencing token. Tasks of all daemons wait here until an executor has room.
+// Orders the executors of one group: the only daemon that starts, stops and looks at them, under
+// one fencing token. Tasks of all daemons wait here until an executor has room.
 #pragma once
 
 #include "executorledger.h"
@@ -49,17 +49,23 @@
 
     const GroupId &id() const { return m_group; }
     FencingToken token() const { return m_token; }
+    Base::TimePoint claimed() const { return m_claimed; }
 
     /// The registered executors of the group. Runs on executors that are missing are followed to
     /// their end, and nothing new starts there.
-    void setExecutors(const std::vector<ExecutorInfo> &executors);
+    /// \a changed is when the set last changed.
+    void setExecutors(const std::vector<ExecutorInfo> &executors, Base::TimePoint changed);
 
     void submit(const Base::DaemonId &from, const Wire::TaskBatch &batch);
     void stopJob(const Base::DaemonId &from, const JobId &job);
-    /// Stops and drops all tasks of \a daemon without a report: it is lost, or has lost touch, and its
-    /// callers send their jobs again elsewhere. If it is still there, it claims its tasks again.
+    /// Stops and drops all tasks of \a daemon without a report: it is lost, or has lost touch, and
+    /// its callers send their jobs again elsewhere. If it is still there, it claims its tasks
+    /// again.
     void coordinatorLost(const Base::DaemonId &daemon);
 
+    /// The group has another owner: sends no order any more.
+    void retire() { m_isFenced = true; }
+
     /// Load for \a recipient, or nothing if a report is not due.
     bool isLoadReportDue() const;
     Wire::GroupLoad loadFor(const Base::DaemonId &recipient) const;
@@ -103,6 +109,7 @@
         RunNumber run;
         RunEnd end = RunEnd::Done;
         Base::TimePoint time;
+        ExecutorId executor;
         bool isReported = false; // to a coordinator, which may then have started it elsewhere
     };
 
@@ -145,6 +152,7 @@
     void fence();
     bool isLeaseOfEarlierOwnerOver() const;
     bool isFateKnown(const ExecutorId &executor) const;
+    bool isListStable() const;
     void releaseAwaitingLook();
     double estimateLogMs(const Order &order) const;
     void changed() { m_isLoadChanged = true; }
@@ -157,10 +165,11 @@
     const Base::TimePoint m_claimed;
     // Callbacks of orders that are answered after the group is gone must do nothing.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
-    bool m_isFenced = false;
+    bool m_isFenced = false;    // no order is sent any more
     bool m_wasAccepted = false; // some executor has accepted the token
 
     LedgerMap m_ledgers;
+    Base::TimePoint m_listChanged;  // when an executor was last added or removed
     std::map<TaskId, Task> m_tasks; // Queued tasks are in m_queue, OnExecutor ones in a ledger
     TaskQueue m_queue;
     std::set<TaskId> m_awaitingLook;
@@ -171,6 +180,7 @@
     std::uint64_t m_lastHold = 0; // numbers holds in the order of sending
     bool m_isLoadChanged = true;
     Base::TimePoint m_lastReport;
+    Base::TimePoint m_lastTick;
     bool m_isFlushScheduled = false;
     GroupCounters m_counters;
 };
--- a/src/libs/dispatch/executorledger.h
+++ b/src/libs/dispatch/executorledger.h
@@ -14,7 +14,7 @@
     Starting,   ///< The start is sent and not answered.
     Unresolved, ///< The start got no answer; it may still be carried out.
     Running,
-    Stopping,   ///< A stop was sent; the run holds its room until its end is listed.
+    Stopping, ///< A stop was sent; the run holds its room until its end is listed.
 };
 
 /// One run of a task on the executor. It holds room as long as it is in the ledger.
@@ -23,9 +23,10 @@
     RunNumber number;
     Resources shape; // empty if the run is not claimed
     RunState state = RunState::Starting;
-    bool isClaimed = true;      // false: found there, and no coordinator has asked for it yet
+    bool isClaimed = true;    // false: found there, and no coordinator has asked for it yet
+    bool isConfirmed = false; // accepted or listed; before that the start may be carried out late
     bool isStopAccepted = false;
-    Base::TimePoint since;      // start sent, or first listed
+    Base::TimePoint since; // start sent, or first listed
     Base::TimePoint stopSent;
     Base::Duration expected{0}; // run time by estimate and speed
     /// Listings that were asked for after this point must show the run, or it is gone.
@@ -68,8 +69,8 @@
 
     // Health.
     void runSucceeded(Base::Duration runTime, double estimateLogMs);
-    /// Returns true if the executor is ejected by this failure. Failures of one job count once, since
-    /// the job may be at fault.
+    /// Returns true if the executor is ejected by this failure. Failures of one job count once,
+    /// since the job may be at fault.
     bool runFailed(const JobId &job, Base::TimePoint now);
     void backOff(Base::TimePoint until);
     bool isUsable(Base::TimePoint now) const;
--- a/src/libs/dispatch/groupdirectory.cpp
+++ b/src/libs/dispatch/groupdirectory.cpp
@@ -60,8 +60,7 @@
     for (std::uint32_t i = 0; i < request.count; ++i) {
         Wire::ExecutorLoad *best = nullptr;
         for (Wire::ExecutorLoad &it : group.executors) {
-            if (suits(it, request)
-                && (!best || speedFor(it, request) > speedFor(*best, request))) {
+            if (suits(it, request) && (!best || speedFor(it, request) > speedFor(*best, request))) {
                 best = &it;
             }
         }
--- a/src/libs/dispatch/groupdirectory.h
+++ b/src/libs/dispatch/groupdirectory.h
@@ -31,8 +31,8 @@
     std::uint32_t startable = 0; // of these, for how many there is free room as far as is known
 };
 
-/// Answers jobs of many parallel tasks under stale views: free room as last reported, less what this
-/// daemon has sent since.
+/// Answers jobs of many parallel tasks under stale views: free room as last reported, less what
+/// this daemon has sent since.
 class GroupDirectory
 {
 public:
@@ -50,8 +50,8 @@
     /// Remembers that a batch was sent, until a load report includes it.
     void batchSent(const GroupId &group, std::uint64_t sequence, const PlacementRequest &request);
 
-    /// Time until a task of \a priority starts in the group where it waits the shortest. No value if
-    /// no executor of the service is known.
+    /// Time until a task of \a priority starts in the group where it waits the shortest. No value
+    /// if no executor of the service is known.
     std::optional<Base::Duration> expectedWait(const ServiceId &service,
                                                std::uint32_t priority) const;
     /// Whether any known executor could ever run a task of \a shape.
@@ -68,7 +68,7 @@
     {
         Base::FailureDomainId domain;
         bool isKnown = false;
-        Wire::GroupLoad load;       // as reported
+        Wire::GroupLoad load;                      // as reported
         std::vector<Wire::ExecutorLoad> executors; // load.executors less m_pending
         std::map<std::pair<ServiceId, std::uint32_t>, double> queued; // with m_pending
         std::vector<Pending> pending; // sent and not in load, in order
--- a/src/libs/dispatch/grouprights.cpp
+++ b/src/libs/dispatch/grouprights.cpp
@@ -47,6 +47,12 @@
     }
 }
 
+/// A message that was under way when the connection broke does not show that the peer lives.
+bool GroupRights::isBroken(const Peer &peer)
+{
+    return peer.heard < peer.broken + Constants::HEARTBEAT_MS / 2;
+}
+
 bool GroupRights::isAlive(const Base::DaemonId &peer) const
 {
     const auto it = m_peers.find(peer);
@@ -54,7 +60,7 @@
         return false;
     const Peer &p = it->second;
     const Base::Duration silence = m_timers.now() - p.heard;
-    if (p.broken > p.heard)
+    if (isBroken(p))
         return silence <= Constants::BROKEN_PEER_SILENCE_MS;
     return silence <= Constants::PEER_SILENCE_MS;
 }
@@ -183,7 +189,7 @@
     const auto peer = m_peers.find(group.claim->owner);
     if (peer != m_peers.end() && peer->second.isDraining)
         return false;
-    if (peer != m_peers.end() && peer->second.broken > peer->second.heard)
+    if (peer != m_peers.end() && isBroken(peer->second))
         return age <= Constants::BROKEN_PEER_SILENCE_MS;
     return age <= Constants::CLAIM_LIFETIME_MS;
 }
@@ -310,11 +316,19 @@
     return peers;
 }
 
+void GroupRights::noteDropped(const Base::DaemonId &peer)
+{
+    const auto it = m_peers.find(peer);
+    if (it != m_peers.end())
+        ++it->second.dropped;
+}
+
 Wire::DispatchState GroupRights::stateFor(const Base::DaemonId &peer) const
 {
     const Base::TimePoint now = m_timers.now();
     const auto age = [now](Base::TimePoint time) {
-        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Base::toMilliseconds(now - time)));
+        return static_cast<std::uint64_t>(
+            std::max<std::int64_t>(0, Base::toMilliseconds(now - time)));
     };
     Wire::DispatchState state;
     state.draining = m_isDraining;
--- a/src/libs/dispatch/grouprights.h
+++ b/src/libs/dispatch/grouprights.h
@@ -31,8 +31,8 @@
 /// Rights need no agreement beforehand: the executors refuse all tokens but the highest that they
 /// have seen, so that two daemons that both believe to own a group can't both start work for long.
 /// What this class adds is that daemons that hear each other settle on one owner, and that a silent
-/// owner is replaced within PEER_SILENCE_MS. It needs neither the store nor a majority, so each part
-/// of a divided deployment goes on with the executors that it reaches.
+/// owner is replaced within PEER_SILENCE_MS. It needs neither the store nor a majority, so each
+/// part of a divided deployment goes on with the executors that it reaches.
 ///
 /// A group is claimed only if most of its executors can be reached. A daemon that is cut off from a
 /// group would otherwise claim it as soon as it loses its owner, and fence the owner when the cut
@@ -56,8 +56,8 @@
     void peerHeard(const Base::DaemonId &peer, const Base::FailureDomainId &domain,
                    Base::Incarnation incarnation, const Wire::DispatchState &state);
     void peerBroken(const Base::DaemonId &peer);
-    /// An executor of \a group refused the token of this daemon. \a wasAccepted: another order under
-    /// that token had been accepted, so that the higher one is newer.
+    /// An executor of \a group refused the token of this daemon. \a wasAccepted: another order
+    /// under that token had been accepted, so that the higher one is newer.
     void fenced(const GroupId &group, bool wasAccepted);
     /// Answer to RightsListener::probeGroup().
     void probed(const GroupId &group, bool isReachable);
@@ -70,6 +70,8 @@
     bool isOwned(const GroupId &group) const;
     bool isAlive(const Base::DaemonId &peer) const;
     std::vector<Base::DaemonId> peersToReset();
+    /// A message about tasks of \a peer was ignored; the peer is told to claim its tasks again.
+    void noteDropped(const Base::DaemonId &peer);
 
 private:
     struct Peer
@@ -78,12 +80,12 @@
         Base::Incarnation incarnation;
         Base::TimePoint heard;
         Base::TimePoint heardSince; // heard without a gap since then
-        Base::TimePoint broken; // when its connection broke; before heard if it did not
+        Base::TimePoint broken;     // when its connection broke; before heard if it did not
         Base::Duration heardAgo{0}; // as of heard: since the peer heard from this daemon
         bool isDraining = false;
         bool isLost = false;
-        std::uint64_t dropped = 0;        // how often its tasks were dropped here
-        std::uint64_t droppedByPeer = 0;  // how often it dropped this daemon's
+        std::uint64_t dropped = 0;       // how often its tasks were dropped here
+        std::uint64_t droppedByPeer = 0; // how often it dropped this daemon's
         Base::TimePoint resetTime;
     };
 
@@ -108,6 +110,7 @@
         Base::TimePoint lastFenced;
     };
 
+    static bool isBroken(const Peer &peer);
     bool isClaimValid(const Group &group) const;
     void mergeClaim(const Wire::GroupClaim &claim);
     void claim(const GroupId &id, Group &group);
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -53,8 +53,19 @@
     const auto wait = m_directory.expectedWait(policy.service, policy.priority);
     const Base::Duration useful =
         std::min(scaled(objective, Constants::LATE_FACTOR), request.timeLeft);
-    // Estimates are off by half and more, so that a job is not rejected for its estimate alone while
-    // nothing waits.
+    if (m_closing && now + chain * 2 > *m_closing) {
+        ++m_counters.rejected;
+        Base::log(LogLevel::Info, "jobRejected",
+                  {{"job", id},
+                   {"queue", policy.queue},
+                   {"reason", "draining"},
+                   {"chain", chain},
+                   {"timeLeft", *m_closing - now}});
+        callback({JobOutcome::Rejected, "draining", std::chrono::seconds(1)});
+        return;
+    }
+    // Estimates are off by half and more, so that a job is not rejected for its estimate alone
+    // while nothing waits.
     const bool isQueueTooLong = wait && wait->count() > 0 && *wait + chain > useful
                                 && *wait > scaled(useful, Constants::FREE_WAIT_SHARE);
     if (!wait || isQueueTooLong) {
@@ -102,8 +113,7 @@
                        [&job](std::uint32_t it) { return job.remaining[it] == 0; });
 }
 
-PlacementRequest JobCoordinator::placementFor(const Job &job, std::size_t step,
-                                              std::uint32_t count)
+PlacementRequest JobCoordinator::placementFor(const Job &job, std::size_t step, std::uint32_t count)
 {
     const StepSpec &spec = job.request.spec.steps[step];
     PlacementRequest request;
@@ -134,8 +144,8 @@
     }
     if (waiting.empty())
         return;
-    const auto shares = m_directory.place(
-        placementFor(job, step, static_cast<std::uint32_t>(waiting.size())));
+    const auto shares =
+        m_directory.place(placementFor(job, step, static_cast<std::uint32_t>(waiting.size())));
     std::size_t next = 0;
     for (const PlacementShare &it : shares) {
         const std::vector<std::uint32_t> indices(waiting.begin() + static_cast<long>(next),
@@ -150,8 +160,12 @@
                                const std::vector<std::uint32_t> &indices, bool mayHaveStarted)
 {
     const Base::TimePoint now = m_timers.now();
+    // After a pause of this process the caller may have sent the job elsewhere.
+    if (now >= job.deadline)
+        return false;
     const auto left = [now](Base::TimePoint time) {
-        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Base::toMilliseconds(time - now)));
+        return static_cast<std::uint64_t>(
+            std::max<std::int64_t>(0, Base::toMilliseconds(time - now)));
     };
     const StepSpec &spec = job.request.spec.steps[step];
     const QueuePolicy &policy = job.request.policy;
@@ -178,6 +192,13 @@
             {it, job.steps[step][it].minRun, mayHaveStarted, job.steps[step][it].executor});
     if (!m_sender.sendToOwner(group, batch))
         return false;
+    Base::log(LogLevel::Debug, "batchSent",
+              {{"job", id},
+               {"step", step},
+               {"group", group},
+               {"tasks", indices.size()},
+               {"first", indices.front()},
+               {"claim", mayHaveStarted ? 1 : 0}});
     m_sequences[group] = batch.sequence;
     m_directory.batchSent(group, batch.sequence,
                           placementFor(job, step, static_cast<std::uint32_t>(indices.size())));
@@ -221,6 +242,13 @@
     if (task.state != TaskState::AtGroup || task.group != group)
         return;
     const auto state = static_cast<TaskReportState>(report.state);
+    Base::log(LogLevel::Debug, "taskReport",
+              {{"job", it->first},
+               {"index", report.index},
+               {"group", group},
+               {"run", report.run},
+               {"state", static_cast<int>(report.state)},
+               {"minRun", task.minRun}});
     // A report about an earlier run of a task that was sent to the same group again.
     if (state != TaskReportState::Returned && report.run < task.minRun)
         return;
@@ -346,6 +374,12 @@
     }
 }
 
+void JobCoordinator::endAll()
+{
+    while (!m_jobs.empty())
+        finish(m_jobs.begin(), {JobOutcome::TimedOut, "draining", {}});
+}
+
 void JobCoordinator::tick()
 {
     const Base::TimePoint now = m_timers.now();
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -51,8 +51,8 @@
     std::uint64_t cancelled = 0;
 };
 
-/// Follows each job from its acceptance to its answer. A task is at one group at a time, and goes to
-/// another one only after the first has stated that it has no run of it.
+/// Follows each job from its acceptance to its answer. A task is at one group at a time, and goes
+/// to another one only after the first has stated that it has no run of it.
 class JobCoordinator
 {
 public:
@@ -69,11 +69,16 @@
     bool contains(const JobId &job) const { return m_jobs.contains(job); }
 
     void reportsReceived(const Wire::TaskReports &reports);
-    /// The group has another owner, or messages to or from its owner may have been lost: states again
-    /// which tasks are at the group, so that the owner reports on each of them.
+    /// The group has another owner, or messages to or from its owner may have been lost: states
+    /// again which tasks are at the group, so that the owner reports on each of them.
     void claimTasks(const GroupId &group);
     void tick();
 
+    /// From now on jobs are rejected that would not end before \a end, by twice their estimate.
+    void setClosing(Base::TimePoint end) { m_closing = end; }
+    /// Gives all jobs up, so that their callers get an answer before the process ends.
+    void endAll();
+
     std::size_t jobCount() const { return m_jobs.size(); }
     const JobCounters &counters() const { return m_counters; }
 
@@ -86,7 +91,7 @@
         GroupId group; // if AtGroup
         std::uint64_t minRun = 1;
         std::uint32_t failures = 0;
-        std::string executor; // where its last run was reported, while AtGroup
+        std::string executor;    // where its last run was reported, while AtGroup
         bool needsClaim = false; // AtGroup, and the owner has yet to be asked about it
     };
 
@@ -120,6 +125,7 @@
     GroupSender &m_sender;
     JobMap m_jobs;
     std::map<GroupId, std::uint64_t> m_sequences; // last batch sent to each group
+    std::optional<Base::TimePoint> m_closing;
     JobCounters m_counters;
 };
 
--- a/src/libs/dispatch/queuetable.cpp
+++ b/src/libs/dispatch/queuetable.cpp
@@ -27,10 +27,9 @@
     const std::size_t colon = host.rfind(':');
     if (colon != std::string_view::npos)
         host = host.substr(0, colon);
-    auto it = std::lower_bound(m_state.routes.begin(), m_state.routes.end(), host,
-                               [](const QueueRoute &route, std::string_view name) {
-                                   return route.host < name;
-                               });
+    auto it = std::lower_bound(
+        m_state.routes.begin(), m_state.routes.end(), host,
+        [](const QueueRoute &route, std::string_view name) { return route.host < name; });
     for (; it != m_state.routes.end() && it->host == host; ++it) {
         if (path.substr(0, it->pathPrefix.size()) == it->pathPrefix)
             return Match{&*it, path.substr(it->pathPrefix.size())};
--- a/src/libs/dispatch/taskqueue.h
+++ b/src/libs/dispatch/taskqueue.h
@@ -54,7 +54,7 @@
     };
 
     std::map<Key, Entry> m_ordered;
-    std::map<TaskId, Key> m_byTask; // same tasks as m_ordered
+    std::map<TaskId, Key> m_byTask;                               // same tasks as m_ordered
     std::map<std::pair<ServiceId, std::uint32_t>, double> m_load; // sums over m_ordered
     std::uint64_t m_lastSequence = 0;
 };
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -23,7 +23,7 @@
     std::string url;
     std::string body;
     Base::Duration timeout{std::chrono::seconds(2)};
-    std::string authorization; // sent if not empty
+    std::string authorization;        // sent if not empty
     std::vector<std::string> headers; // further header lines, "Name: value"
     /// Bound on opening a connection; 0 stands for the library's default.
     Base::Duration connectTimeout{0};
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -167,23 +167,23 @@
                             .max_field_value_size(options.maxHeaderBytes)
                             .max_field_count(Constants::MAX_HEADER_FIELDS)
                             .max_body_size(options.maxBodyBytes);
-    auto settings = restinio::server_settings_t<ServerTraits>()
-                        .port(options.port)
-                        .address(options.address)
-                        .incoming_http_msg_limits(limits)
-                        .max_parallel_connections(options.maxConnections)
-                        .read_next_http_message_timelimit(Constants::READ_TIMEOUT_S)
-                        .write_http_response_timelimit(Constants::READ_TIMEOUT_S)
-                        .handle_request_timeout(Constants::REQUEST_HANDLING_TIMEOUT_S)
-                        .separate_accept_and_create_connect(false)
-                        // A second message is awaited while the first is handled, since only a read
-                        // shows that the caller has left.
-                        .max_pipelined_requests(options.connectionClosed ? 2 : 1)
-                        .connection_state_listener(
-                            std::make_shared<CloseListener>(options.connectionClosed))
-                        .request_handler([handler = m_d->handler, options](const auto &handle) {
-                            return handleRequest(options, *handler, handle);
-                        });
+    auto settings =
+        restinio::server_settings_t<ServerTraits>()
+            .port(options.port)
+            .address(options.address)
+            .incoming_http_msg_limits(limits)
+            .max_parallel_connections(options.maxConnections)
+            .read_next_http_message_timelimit(Constants::READ_TIMEOUT_S)
+            .write_http_response_timelimit(Constants::READ_TIMEOUT_S)
+            .handle_request_timeout(Constants::REQUEST_HANDLING_TIMEOUT_S)
+            .separate_accept_and_create_connect(false)
+            // A second message is awaited while the first is handled, since only a read
+            // shows that the caller has left.
+            .max_pipelined_requests(options.connectionClosed ? 2 : 1)
+            .connection_state_listener(std::make_shared<CloseListener>(options.connectionClosed))
+            .request_handler([handler = m_d->handler, options](const auto &handle) {
+                return handleRequest(options, *handler, handle);
+            });
     try {
         m_d->server = std::make_unique<RestinioServer>(restinio::external_io_context(m_d->io),
                                                        std::move(settings));
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -25,9 +25,9 @@
     std::map<std::string, std::string> query;
     std::string authorization; // value of the Authorization header
     std::string body;
-    std::string rawPath; // as received, without the query
-    std::string host;    // value of the Host header
-    std::string deadline; // value of the header that ServerOptions::deadlineHeader names
+    std::string rawPath;          // as received, without the query
+    std::string host;             // value of the Host header
+    std::string deadline;         // value of the header that ServerOptions::deadlineHeader names
     std::uint64_t connection = 0; // tells connections of this server apart
 
     /// Value of query parameter \a name, or an empty string.
--- a/src/libs/storage/tablefollower.cpp
+++ b/src/libs/storage/tablefollower.cpp
@@ -136,31 +136,30 @@
 
 void TableFollower::await()
 {
-    m_feed.awaitChanges(m_table, m_position, m_timing.wait,
-                        [this, alive = m_isAlive](const FeedResult &result) {
-                            if (!*alive)
-                                return;
-                            if (result.status == FeedStatus::HistoryGone) {
-                                Base::log(LogLevel::Info, "historyGone",
-                                          {{"table", m_table}, {"position", m_position}});
-                                read();
-                                return;
-                            }
-                            if (result.status != FeedStatus::Ok) {
-                                retry(false);
-                                return;
-                            }
-                            succeeded();
-                            m_position = std::max(m_position, result.version);
-                            m_newest = std::max(m_newest, result.version);
-                            bool isChanged = false;
-                            for (const TableRow &it : result.rows)
-                                isChanged |= merge(it);
-                            if (isChanged)
-                                m_changed();
-                            awaitAfter(result.rows.empty() ? Base::Duration(0)
-                                                           : Base::Duration(m_timing.gather));
-                        });
+    m_feed.awaitChanges(
+        m_table, m_position, m_timing.wait, [this, alive = m_isAlive](const FeedResult &result) {
+            if (!*alive)
+                return;
+            if (result.status == FeedStatus::HistoryGone) {
+                Base::log(LogLevel::Info, "historyGone",
+                          {{"table", m_table}, {"position", m_position}});
+                read();
+                return;
+            }
+            if (result.status != FeedStatus::Ok) {
+                retry(false);
+                return;
+            }
+            succeeded();
+            m_position = std::max(m_position, result.version);
+            m_newest = std::max(m_newest, result.version);
+            bool isChanged = false;
+            for (const TableRow &it : result.rows)
+                isChanged |= merge(it);
+            if (isChanged)
+                m_changed();
+            awaitAfter(result.rows.empty() ? Base::Duration(0) : Base::Duration(m_timing.gather));
+        });
 }
 
 } // namespace Storage
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -213,7 +213,7 @@
 struct BatchTask
 {
     std::uint32_t index = 0;
-    std::uint64_t minRun = 1; // the lowest run number that may be used
+    std::uint64_t minRun = 1;    // the lowest run number that may be used
     bool mayHaveStarted = false; // an earlier owner of the group may have started it
     std::string executor;        // where it was last reported as started; may be empty
 
@@ -239,7 +239,7 @@
     std::uint64_t deadlineMs = 0;  // left until nobody waits for the job
     std::uint64_t ageMs = 0;       // since the job was accepted
     std::string requiredLabel;
-    std::string rack; // preferred
+    std::string rack;                 // preferred
     std::uint32_t maxPerExecutor = 0; // 0: no bound
     std::vector<BatchTask> tasks;
 
@@ -287,10 +287,30 @@
     MSGPACK_DEFINE(group, job)
 };
 
+/// An executor that the owner of a group orders.
+struct GroupMember
+{
+    std::string id;
+    std::string address;
+    std::string service;
+    std::uint64_t lifetime = 0;
+
+    MSGPACK_DEFINE(id, address, service, lifetime)
+};
+
+/// The executors of a group as its owner knows them, for the next owner.
+struct GroupMembers
+{
+    std::string group;
+    std::uint64_t token = 0;
+    std::vector<GroupMember> members;
+
+    MSGPACK_DEFINE(group, token, members)
+};
+
 /// The order of the alternatives is the type number on the wire; append only.
-using Message =
-    std::variant<Hello, Heartbeat, LeaseRequest, LeasePromise, Replicate, ReplicateAck, HandOver,
-                 Forward, ForwardReply, SlotLoan, ManifestFetch, ManifestBody, DispatchState, GroupLoad,
-                 TaskBatch, TaskReports, StopJob>;
+using Message = std::variant<Hello, Heartbeat, LeaseRequest, LeasePromise, Replicate, ReplicateAck,
+                             HandOver, Forward, ForwardReply, SlotLoan, ManifestFetch, ManifestBody,
+                             DispatchState, GroupLoad, TaskBatch, TaskReports, StopJob, GroupMembers>;
 
 } // namespace Wire
--- a/src/libs/wire/peerport.h
+++ b/src/libs/wire/peerport.h
@@ -26,6 +26,8 @@
     virtual bool send(const Base::DaemonId &peer, const Message &message) = 0;
     /// Whether a connection to \a peer is up.
     virtual bool isConnected(const Base::DaemonId &peer) const = 0;
+    /// Opens the connection to \a peer anew, since what is sent on it does not arrive.
+    virtual void resetConnection(const Base::DaemonId &) {}
 };
 
 /// Receives messages of one or more types.
--- a/src/plugins/peerlink/inboundconnection.cpp
+++ b/src/plugins/peerlink/inboundconnection.cpp
@@ -16,7 +16,8 @@
 namespace PeerLink {
 
 InboundConnection::InboundConnection(const Settings::Runtime &runtime, const LinkOptions &options,
-                                     asio::ip::tcp::socket socket, std::uint64_t id, MessageCallback received, EndCallback ended)
+                                     asio::ip::tcp::socket socket, std::uint64_t id,
+                                     MessageCallback received, EndCallback ended)
     : m_runtime(runtime)
     , m_options(options)
     , m_socket(std::move(socket))
--- a/src/plugins/peerlink/peerlink.h
+++ b/src/plugins/peerlink/peerlink.h
@@ -34,11 +34,10 @@
 
     /// Replaces the set of peers to dial. Connections to peers that stay are kept.
     void setPeers(const std::vector<Settings::PeerSettings> &peers);
-    /// Dials \a peer again, for a connection whose data does not arrive.
-    void resetConnection(const Base::DaemonId &peer);
 
     bool send(const Base::DaemonId &peer, const Wire::Message &message) override;
     bool isConnected(const Base::DaemonId &peer) const override;
+    void resetConnection(const Base::DaemonId &peer) override;
 
 private:
     void addPeer(const Settings::PeerSettings &peer);
--- /dev/null
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -0,0 +1,404 @@
+// Executors as the platform describes them: tokens, leases, listings, and orders that are lost,
+// carried out late, or answered out of order. Checks what must never happen on an executor.
+#pragma once
+
+#include <dispatch/executorport.h>
+#include <support/manualtimers.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace DispatchTest {
+
+using namespace Dispatch;
+using namespace std::chrono_literals;
+using TestSupport::ManualTimers;
+
+/// What an order meets on its way.
+struct OrderFate
+{
+    Base::Duration there{200us};
+    Base::Duration back{200us};
+    bool isLost = false; // never arrives
+    bool isAnswerLost = false;
+    Base::Duration lateBy{0}; // carried out this much later, and not answered
+};
+
+class FakeExecutors
+{
+public:
+    explicit FakeExecutors(ManualTimers &clock)
+        : m_clock(clock)
+    {}
+
+    struct ActiveRun
+    {
+        RunNumber number;
+        Resources shape;
+        bool isStopping = false;
+        std::uint64_t id = 0;
+    };
+
+    struct Executor
+    {
+        ExecutorInfo info;
+        bool isUp = true;
+        FencingToken token;
+        Base::TimePoint leaseEnd;
+        std::map<TaskId, ActiveRun> runs;
+        std::map<TaskId, RunNumber> barred; // runs up to this one are refused
+        std::vector<ListedEnd> ended;
+        std::uint64_t lastEnd = 0;
+        Base::Duration clockOffset{0};
+        std::vector<std::pair<EndSequence, std::function<void()>>> waiting; // holds
+    };
+
+    void add(const ExecutorInfo &info)
+    {
+        Executor executor;
+        executor.info = info;
+        executor.clockOffset = std::chrono::milliseconds(1000 * (m_executors.size() + 1));
+        m_executors.emplace(info.id, executor);
+    }
+
+    std::vector<ExecutorInfo> infos() const
+    {
+        std::vector<ExecutorInfo> list;
+        for (const auto &[id, executor] : m_executors) {
+            if (executor.isUp)
+                list.push_back(executor.info);
+        }
+        return list;
+    }
+
+    Executor &at(const ExecutorId &id) { return m_executors.at(id); }
+
+    void crash(const ExecutorId &id)
+    {
+        Executor &executor = at(id);
+        executor.isUp = false;
+        for (const auto &[task, run] : executor.runs)
+            m_running.erase(run.id);
+        executor.runs.clear();
+    }
+
+    /// Starts again under its id, with nothing known.
+    void restart(const ExecutorId &id)
+    {
+        crash(id);
+        Executor &executor = at(id);
+        const ExecutorInfo info = executor.info;
+        executor = {};
+        executor.info = info;
+        executor.info.lifetime = info.lifetime.next();
+        executor.clockOffset = std::chrono::milliseconds(7);
+    }
+
+    bool isReachable(const std::string &daemon, const ExecutorId &id) const
+    {
+        return m_executors.at(id).isUp && !cut.contains({daemon, id});
+    }
+
+    std::int64_t clockOf(const Executor &executor) const
+    {
+        return Base::toMilliseconds(m_clock.now().time_since_epoch() + executor.clockOffset);
+    }
+
+    void violate(const std::string &what)
+    {
+        if (violation.empty())
+            violation = what;
+    }
+
+    std::optional<OrderResult> checkToken(Executor &executor, FencingToken token)
+    {
+        OrderResult result;
+        result.clock = ExecutorTime(clockOf(executor));
+        if (token < executor.token) {
+            result.outcome = OrderOutcome::Refused;
+            result.refusal = RefusalReason::Fenced;
+            return result;
+        }
+        executor.token = token;
+        return std::nullopt;
+    }
+
+    void prolong(Executor &executor, const std::optional<ExecutorTime> &leaseEnd)
+    {
+        if (!leaseEnd)
+            return;
+        const std::int64_t now = clockOf(executor);
+        const std::int64_t end = std::min<std::int64_t>(leaseEnd->count(), now + 1000);
+        if (end <= now)
+            return;
+        const Base::TimePoint until = m_clock.now() + std::chrono::milliseconds(end - now);
+        if (until <= executor.leaseEnd)
+            return;
+        executor.leaseEnd = until;
+        m_clock.schedule(until - m_clock.now(), [this, id = executor.info.id, until] {
+            Executor &it = at(id);
+            if (it.leaseEnd == until) {
+                for (const auto &[task, run] : std::map(it.runs))
+                    endRun(it, task, RunEnd::Lapsed);
+            }
+        });
+    }
+
+    void endRun(Executor &executor, const TaskId &task, RunEnd end)
+    {
+        const auto it = executor.runs.find(task);
+        if (it == executor.runs.end())
+            return;
+        const RunNumber number = it->second.number;
+        m_running.erase(it->second.id);
+        executor.runs.erase(it);
+        executor.barred[task] = std::max(executor.barred[task], number);
+        executor.ended.push_back({EndSequence(++executor.lastEnd), task, number, end});
+        ++endCounts[end];
+        for (auto &[seen, answer] : std::exchange(executor.waiting, {}))
+            answer();
+    }
+
+    OrderResult start(Executor &executor, const StartOrder &order)
+    {
+        if (auto refused = checkToken(executor, order.token))
+            return *refused;
+        OrderResult result;
+        result.clock = ExecutorTime(clockOf(executor));
+        result.outcome = OrderOutcome::Refused;
+        const auto running = executor.runs.find(order.task);
+        if (running != executor.runs.end() && running->second.number == order.run) {
+            result.outcome = OrderOutcome::Accepted;
+            return result;
+        }
+        const auto barred = executor.barred.find(order.task);
+        if (barred != executor.barred.end() && order.run <= barred->second) {
+            prolong(executor, order.leaseEnd);
+            result.refusal = RefusalReason::OldRun;
+            return result;
+        }
+        if (!order.leaseEnd || order.leaseEnd->count() <= clockOf(executor)) {
+            result.refusal = RefusalReason::LeaseExpired;
+            return result;
+        }
+        if (running != executor.runs.end())
+            violate("two runs of a task on one executor: " + toString(order.task));
+        prolong(executor, order.leaseEnd);
+        ActiveRun run;
+        run.number = order.run;
+        run.shape = shapeOf(order);
+        run.id = ++m_lastRun;
+        Resources used = run.shape;
+        for (const auto &[task, other] : executor.runs)
+            used += other.shape;
+        if (!used.fits(executor.info.capacity)) {
+            std::string what =
+                "over capacity: " + executor.info.id.value() + " " + toString(order.task);
+            for (const auto &[task, other] : executor.runs)
+                what += " " + toString(task) + (other.isStopping ? " (stopping)" : "");
+            violate(what);
+        }
+        for (const auto &[id, other] : m_running) {
+            if (other == order.task)
+                violate("two runs at one time: " + toString(order.task));
+        }
+        m_running.emplace(run.id, order.task);
+        started.insert(order.task.job);
+        ++startCount;
+        executor.runs.emplace(order.task, run);
+        const auto [duration, end] = chooseRun(order, executor.info);
+        m_clock.schedule(
+            duration, [this, id = executor.info.id, task = order.task, runId = run.id, how = end] {
+                Executor &it = at(id);
+                const auto active = it.runs.find(task);
+                if (active != it.runs.end() && active->second.id == runId
+                    && !active->second.isStopping) {
+                    endRun(it, task, how);
+                }
+            });
+        result.outcome = OrderOutcome::Accepted;
+        return result;
+    }
+
+    OrderResult stop(Executor &executor, const StopOrder &order)
+    {
+        if (auto refused = checkToken(executor, order.token))
+            return *refused;
+        OrderResult result;
+        result.clock = ExecutorTime(clockOf(executor));
+        result.outcome = OrderOutcome::Accepted;
+        const auto running = executor.runs.find(order.task);
+        if (running != executor.runs.end() && running->second.number <= order.run) {
+            running->second.isStopping = true;
+            m_clock.schedule(
+                30ms, [this, id = executor.info.id, task = order.task, runId = running->second.id] {
+                    Executor &it = at(id);
+                    const auto active = it.runs.find(task);
+                    if (active != it.runs.end() && active->second.id == runId)
+                        endRun(it, task, RunEnd::Stopped);
+                });
+            return result;
+        }
+        executor.barred[order.task] = std::max(executor.barred[order.task], order.run);
+        return result;
+    }
+
+    HoldResult list(Executor &executor) const
+    {
+        HoldResult result;
+        result.order.outcome = OrderOutcome::Accepted;
+        result.order.clock = ExecutorTime(clockOf(executor));
+        result.lifetime = executor.info.lifetime;
+        for (const auto &[task, run] : executor.runs)
+            result.running.push_back({task, run.number});
+        result.ended = executor.ended;
+        return result;
+    }
+
+    ManualTimers &m_clock;
+    /// Pairs of daemon and executor that can't reach each other.
+    std::set<std::pair<std::string, ExecutorId>> cut;
+    std::function<OrderFate()> chooseFate = [] { return OrderFate(); };
+    std::function<Resources(const StartOrder &)> shapeOf;
+    std::function<std::pair<Base::Duration, RunEnd>(const StartOrder &, const ExecutorInfo &)>
+        chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+            return std::pair<Base::Duration, RunEnd>(60ms, RunEnd::Done);
+        };
+    std::set<JobId> started;
+    std::uint64_t startCount = 0;
+    std::map<RunEnd, std::uint64_t> endCounts;
+    std::string violation;
+
+private:
+    std::map<ExecutorId, Executor> m_executors;
+    std::map<std::uint64_t, TaskId> m_running;
+    std::uint64_t m_lastRun = 0;
+};
+
+/// The executors as one daemon reaches them.
+class FakeExecutorPort : public ExecutorPort
+{
+public:
+    FakeExecutorPort(FakeExecutors &executors, Base::Timers &timers, std::string daemon)
+        : m_executors(executors)
+        , m_timers(&timers)
+        , m_daemon(std::move(daemon))
+    {}
+
+    /// The daemon has ended.
+    void detach() { m_timers = nullptr; }
+
+    void startTask(const ExecutorInfo &executor, const StartOrder &order,
+                   OrderCallback callback) override
+    {
+        send<OrderResult>(executor, 200ms, std::move(callback),
+                          [this, order](auto &it) { return m_executors.start(it, order); });
+    }
+
+    void stopTask(const ExecutorInfo &executor, const StopOrder &order,
+                  OrderCallback callback) override
+    {
+        send<OrderResult>(executor, 200ms, std::move(callback),
+                          [this, order](auto &it) { return m_executors.stop(it, order); });
+    }
+
+    void hold(const ExecutorInfo &executor, const HoldOrder &order, HoldCallback callback) override
+    {
+        const OrderFate fate = m_executors.chooseFate();
+        const auto answer = answerer<HoldResult>(200ms + order.wait, std::move(callback));
+        const auto respond = [this, fate, answer, id = executor.id] {
+            const HoldResult result = m_executors.list(m_executors.at(id));
+            deliver(id, fate, [answer, result] { (*answer)(result); });
+        };
+        arrive(executor, fate, [this, order, respond, answer, fate, id = executor.id] {
+            FakeExecutors::Executor &it = m_executors.at(id);
+            if (auto refused = m_executors.checkToken(it, order.token)) {
+                HoldResult result;
+                result.order = *refused;
+                deliver(id, fate, [answer, result] { (*answer)(result); });
+                return;
+            }
+            std::erase_if(it.ended, [&order](const ListedEnd &end) {
+                return end.sequence <= order.seenUpTo;
+            });
+            m_executors.prolong(it, order.leaseEnd);
+            if (!it.ended.empty() || order.wait.count() == 0) {
+                respond();
+                return;
+            }
+            const auto isDone = std::make_shared<bool>(false);
+            const auto once = [isDone, respond] {
+                if (!std::exchange(*isDone, true))
+                    respond();
+            };
+            it.waiting.emplace_back(order.seenUpTo, once);
+            m_executors.m_clock.schedule(order.wait, once);
+        });
+    }
+
+private:
+    template<class Result, class Callback, class Action>
+    void send(const ExecutorInfo &executor, Base::Duration timeout, Callback callback,
+              Action action)
+    {
+        const OrderFate fate = m_executors.chooseFate();
+        const auto answer = answerer<Result>(timeout, std::move(callback));
+        arrive(executor, fate, [this, action, answer, fate, id = executor.id] {
+            const Result result = action(m_executors.at(id));
+            deliver(id, fate, [answer, result] { (*answer)(result); });
+        });
+    }
+
+    /// Calls the callback once, with an unknown outcome if nothing comes within \a timeout.
+    template<class Result, class Callback>
+    std::shared_ptr<std::function<void(const Result &)>> answerer(Base::Duration timeout,
+                                                                  Callback callback)
+    {
+        const auto isDone = std::make_shared<bool>(false);
+        auto answer = std::make_shared<std::function<void(const Result &)>>(
+            [isDone, callback](const Result &result) {
+                if (!std::exchange(*isDone, true))
+                    callback(result);
+            });
+        m_timers->schedule(timeout, [answer] { (*answer)(Result()); });
+        return answer;
+    }
+
+    void arrive(const ExecutorInfo &executor, const OrderFate &fate, std::function<void()> action)
+    {
+        if (fate.isLost)
+            return;
+        m_executors.m_clock.schedule(fate.there + fate.lateBy, [this, id = executor.id,
+                                                                lifetime = executor.lifetime,
+                                                                action, late = fate.lateBy] {
+            // A late order waits at the executor, beyond any cut.
+            const FakeExecutors::Executor &it = m_executors.at(id);
+            const bool isThere = late.count() > 0 ? it.isUp : m_executors.isReachable(m_daemon, id);
+            if (isThere && it.info.lifetime == lifetime)
+                action();
+        });
+    }
+
+    void deliver(const ExecutorId &id, const OrderFate &fate, std::function<void()> action)
+    {
+        if (fate.isAnswerLost || fate.lateBy.count() > 0)
+            return;
+        m_executors.m_clock.schedule(fate.back, [this, id, action] {
+            if (m_timers && m_executors.isReachable(m_daemon, id))
+                m_timers->schedule(Base::Duration(0), action);
+        });
+    }
+
+    FakeExecutors &m_executors;
+    Base::Timers *m_timers; // null once the daemon has ended; its orders may still arrive
+    const std::string m_daemon;
+};
+
+} // namespace DispatchTest
--- /dev/null
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -0,0 +1,195 @@
+// Parts of the dispatch library on their own.
+#undef BOOST_TEST_MODULE
+#include <dispatch/dispatchconstants.h>
+#include <dispatch/executorledger.h>
+#include <dispatch/groupdirectory.h>
+#include <dispatch/queuetable.h>
+#include <dispatch/taskqueue.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Dispatch;
+using namespace std::chrono_literals;
+
+static const Base::TimePoint T0{std::chrono::hours(1)};
+
+BOOST_AUTO_TEST_SUITE(resources)
+
+BOOST_AUTO_TEST_CASE(placesAreBoundedByTheScarcestResource)
+{
+    const Resources room{16000, 100, 2};
+    BOOST_TEST(room.places({6800, 10, 0}) == 2U);
+    BOOST_TEST(room.places({1000, 60, 0}) == 1U);
+    BOOST_TEST(room.places({1000, 10, 3}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ledgerHasNoRoomWhileAnUnknownRunIsThere)
+{
+    ExecutorInfo info;
+    info.capacity = {16000, 1000, 0};
+    ExecutorLedger ledger(info);
+    BOOST_TEST(ledger.freeRoom().cpuMillis == 0U);
+    ledger.isLooked = true;
+    BOOST_TEST(ledger.freeRoom().cpuMillis == 16000U);
+    Run run;
+    run.isClaimed = false;
+    ledger.runs().emplace(TaskId{JobId("j"), 0, 0, 0}, run);
+    BOOST_TEST(ledger.freeRoom().cpuMillis == 0U);
+}
+
+// Failures of one job that can never be done must not eject the executors that try it.
+BOOST_AUTO_TEST_CASE(failuresOfOneJobCountOnce)
+{
+    ExecutorLedger ledger{ExecutorInfo()};
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(!ledger.runFailed(JobId("poison"), T0));
+    BOOST_TEST(!ledger.runFailed(JobId("second"), T0));
+    BOOST_TEST(ledger.runFailed(JobId("third"), T0));
+}
+
+BOOST_AUTO_TEST_CASE(leaseEndFollowsTheExecutorsClock)
+{
+    ExecutorLedger ledger{ExecutorInfo()};
+    BOOST_TEST(!ledger.nextLeaseEnd(T0).has_value());
+    ledger.clockSeen(ExecutorTime(5000), T0);
+    BOOST_TEST(ledger.nextLeaseEnd(T0 + 100ms)->count() == 6100);
+    ledger.clockSeen(ExecutorTime(4000), T0 + 50ms); // overtaken on its way
+    BOOST_TEST(ledger.nextLeaseEnd(T0 + 100ms)->count() == 6100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(queue)
+
+static TaskQueue::Entry entry(const char *job, std::uint32_t priority, Base::Duration objective)
+{
+    return {{JobId(job), 0, 0, 0}, ServiceId("s"), priority, T0 + objective, {1000, 1, 0}, 1s};
+}
+
+BOOST_AUTO_TEST_CASE(ordersByPriorityThenObjective)
+{
+    TaskQueue queue;
+    queue.add(entry("low", 2, 1ms), T0);
+    queue.add(entry("late", 0, 300ms), T0);
+    queue.add(entry("soon", 0, 100ms), T0);
+    const auto head = queue.head(3);
+    BOOST_TEST(head[0].task.job.value() == "soon");
+    BOOST_TEST(head[1].task.job.value() == "late");
+    BOOST_TEST(head[2].task.job.value() == "low");
+    BOOST_TEST(queue.load().size() == 2U);
+    for (const auto &it : head)
+        BOOST_TEST(queue.remove(it.task));
+    BOOST_TEST(queue.isEmpty());
+    BOOST_TEST(queue.load().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(queues)
+
+static DesiredState state(std::uint64_t version)
+{
+    DesiredState desired;
+    desired.version = Base::Revision(version);
+    desired.routes = {{"one.example", "/a/", {}}, {"one.example", "/a/b/", {}}};
+    desired.routes[0].policy.queue = QueueId("short");
+    desired.routes[1].policy.queue = QueueId("long");
+    return desired;
+}
+
+BOOST_AUTO_TEST_CASE(longestPrefixWins)
+{
+    QueueTable table;
+    BOOST_TEST(table.apply(state(3)));
+    BOOST_TEST(table.match("one.example:80", "/a/b/x")->route->policy.queue.value() == "long");
+    BOOST_TEST(table.match("one.example", "/a/x")->route->policy.queue.value() == "short");
+    BOOST_TEST(std::string(table.match("one.example", "/a/x")->rest) == "x");
+    BOOST_TEST(!table.match("two.example", "/a/x").has_value());
+    BOOST_TEST(!table.match("one.example", "/c").has_value());
+}
+
+// A stale read of the store must not bring an older version back.
+BOOST_AUTO_TEST_CASE(versionsNeverGoBack)
+{
+    QueueTable table;
+    BOOST_TEST(table.apply(state(5)));
+    BOOST_TEST(!table.apply(state(4)));
+    BOOST_TEST(!table.apply(state(5)));
+    BOOST_TEST(table.version().value() == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(directory)
+
+static Wire::GroupLoad load(const char *group, std::vector<std::uint32_t> freeCpu,
+                            std::uint64_t batchesSeen = 0)
+{
+    Wire::GroupLoad report;
+    report.group = group;
+    report.token = 1;
+    report.batchesSeen = batchesSeen;
+    for (const std::uint32_t it : freeCpu)
+        report.executors.push_back({"s", "", "", it, 1000, 0, 16000, 100});
+    return report;
+}
+
+static PlacementRequest request(std::uint32_t count)
+{
+    PlacementRequest r;
+    r.service = ServiceId("s");
+    r.shape = {6800, 64, 0};
+    r.estimate = 60ms;
+    r.count = count;
+    return r;
+}
+
+struct TwoGroups
+{
+    TwoGroups()
+    {
+        directory.setGroups({{GroupId("near"), Base::FailureDomainId("near")},
+                             {GroupId("far"), Base::FailureDomainId("far")}});
+    }
+    GroupDirectory directory{Base::FailureDomainId("near")};
+};
+
+BOOST_FIXTURE_TEST_CASE(prefersNearThenUsesFar, TwoGroups)
+{
+    directory.loadReceived(load("near", {16000}));
+    directory.loadReceived(load("far", {16000, 16000}));
+    const auto shares = directory.place(request(4));
+    BOOST_TEST(shares.size() == 2U);
+    for (const PlacementShare &it : shares) {
+        BOOST_TEST(it.count == 2U);
+        BOOST_TEST(it.startable == 2U);
+    }
+}
+
+// Jobs that arrive between two load reports must not all go to the same free room.
+BOOST_FIXTURE_TEST_CASE(countsWhatWasSentSinceTheReport, TwoGroups)
+{
+    directory.loadReceived(load("near", {16000}));
+    directory.loadReceived(load("far", {16000}));
+    directory.batchSent(GroupId("near"), 1, request(2));
+    BOOST_TEST(directory.place(request(2)).front().group.value() == "far");
+    // A report that does not include the batch changes nothing, one that does frees the room.
+    directory.loadReceived(load("near", {16000}, 0));
+    BOOST_TEST(directory.place(request(2)).front().group.value() == "far");
+    directory.loadReceived(load("near", {16000}, 1));
+    BOOST_TEST(directory.place(request(2)).front().group.value() == "near");
+}
+
+BOOST_FIXTURE_TEST_CASE(waitGrowsWithQueuedWork, TwoGroups)
+{
+    BOOST_TEST(!directory.expectedWait(ServiceId("s"), 0).has_value());
+    directory.loadReceived(load("near", {0}));
+    BOOST_TEST(directory.expectedWait(ServiceId("s"), 0)->count() == 0);
+    PlacementRequest waiting = request(40);
+    waiting.priority = 1;
+    directory.batchSent(GroupId("near"), 1, waiting);
+    BOOST_TEST(directory.expectedWait(ServiceId("s"), 0)->count() == 0);
+    BOOST_TEST((*directory.expectedWait(ServiceId("s"), 1) > 900ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -0,0 +1,290 @@
+// Randomised schedules of jobs and faults, three faults at a time. EP_RANDOM_RUNS sets their number
+// and EP_RANDOM_SEED the first seed; a failing schedule is repeated with its seed and one run.
+// The build defines the module for every file, but only tst_dispatch.cpp may contain main().
+#undef BOOST_TEST_MODULE
+#include "dispatchcluster.h"
+
+#include <base/log.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+using namespace DispatchTest;
+
+static std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+namespace {
+
+class Schedule
+{
+public:
+    explicit Schedule(std::uint64_t seed)
+        : m_random(seed)
+    {
+        m_cluster.addDaemon("a1", "a");
+        m_cluster.addDaemon("a2", "a");
+        m_cluster.addDaemon("b1", "b");
+        m_cluster.addDaemon("c1", "c");
+        for (const char *it : {"a", "b", "c"})
+            m_cluster.addExecutors(it, 3);
+        m_cluster.executors.chooseRun = [this](const StartOrder &, const ExecutorInfo &) {
+            const auto duration = std::chrono::milliseconds(20 + draw(600));
+            return std::pair<Base::Duration, RunEnd>(
+                duration, !m_isSettled && draw(30) == 0 ? RunEnd::Failed : RunEnd::Done);
+        };
+        m_cluster.executors.chooseFate = [this] { return fate(); };
+        m_cluster.network.chooseDelay = [this]() -> std::optional<Base::Duration> {
+            return std::chrono::microseconds(200 + draw(m_slowNetwork ? 60'000 : 2000));
+        };
+    }
+
+    /// The first invariant that did not hold, or an empty string.
+    std::string run()
+    {
+        m_cluster.startAll();
+        m_cluster.run(800ms);
+        for (int step = 0; step < 500 && m_cluster.executors.violation.empty(); ++step) {
+            for (Fault &it : m_faults) {
+                if (it.end && step >= it.endStep)
+                    std::exchange(it.end, nullptr)();
+                if (!it.end && draw(25) == 0) {
+                    it.endStep = step + 5 + static_cast<int>(draw(150));
+                    begin(it);
+                }
+            }
+            if (draw(3) == 0)
+                callerActs();
+            resendDue(step);
+            m_cluster.run(20ms);
+        }
+        for (Fault &it : m_faults) {
+            if (it.end)
+                std::exchange(it.end, nullptr)();
+        }
+        m_isSettled = true;
+        m_cluster.announceExecutors();
+        m_cluster.run(15s);
+        checkServed();
+        return m_cluster.executors.violation;
+    }
+
+    std::size_t completed() const { return m_cluster.count(JobOutcome::Completed); }
+
+private:
+    struct Fault
+    {
+        std::function<void()> end;
+        int endStep = 0;
+    };
+
+    std::uint64_t draw(std::uint64_t n) { return m_random() % n; }
+
+    std::string pickDaemon()
+    {
+        auto it = m_cluster.domains.begin();
+        std::advance(it, draw(m_cluster.domains.size()));
+        return it->first;
+    }
+    ExecutorId pickExecutor()
+    {
+        const char *domains[] = {"a", "b", "c"};
+        return ExecutorId(fmt::format("{}-x{}", domains[draw(3)], draw(3)));
+    }
+
+    OrderFate fate()
+    {
+        OrderFate fate;
+        fate.there = std::chrono::microseconds(100 + draw(3000));
+        fate.back = std::chrono::microseconds(100 + draw(3000));
+        if (m_slowNetwork && draw(10) == 0)
+            fate.there += std::chrono::milliseconds(draw(250));
+        if (m_lossyOrders) {
+            const std::uint64_t n = draw(20);
+            fate.isLost = n == 0;
+            fate.isAnswerLost = n == 1;
+            if (n == 2)
+                fate.lateBy = std::chrono::milliseconds(2000 + draw(10'000));
+        }
+        return fate;
+    }
+
+    void begin(Fault &fault)
+    {
+        const std::string daemon = pickDaemon();
+        const ExecutorId executor = pickExecutor();
+        switch (draw(9)) {
+        case 0:
+            m_cluster.kill(daemon);
+            fault.end = [this, daemon] {
+                if (m_cluster.isUp(daemon))
+                    return;
+                m_cluster.lastNumber += 10;
+                m_cluster.startDaemon(daemon);
+            };
+            return;
+        case 1:
+            if (!m_cluster.isUp(daemon) || m_cluster.daemons.at(daemon)->timers.isPaused())
+                return;
+            m_cluster.daemons.at(daemon)->timers.pause();
+            fault.end = [this, daemon] {
+                if (m_cluster.isUp(daemon))
+                    m_cluster.daemons.at(daemon)->timers.resume();
+            };
+            return;
+        case 2: {
+            const std::string domain = m_cluster.domains.at(daemon);
+            m_cluster.setDomainCut(domain, true);
+            fault.end = [this, domain] { m_cluster.setDomainCut(domain, false); };
+            return;
+        }
+        case 3: {
+            const std::string other = pickDaemon();
+            if (other == daemon)
+                return;
+            m_cluster.setCut(daemon, other, true);
+            fault.end = [this, daemon, other] { m_cluster.setCut(daemon, other, false); };
+            return;
+        }
+        case 4:
+            m_lossyOrders = true;
+            fault.end = [this] { m_lossyOrders = false; };
+            return;
+        case 5:
+            m_slowNetwork = true;
+            fault.end = [this] { m_slowNetwork = false; };
+            return;
+        case 6:
+            m_cluster.executors.crash(executor);
+            fault.end = [this, executor] {
+                m_cluster.executors.restart(executor);
+                m_cluster.announceExecutors();
+            };
+            return;
+        case 7:
+            m_cluster.executors.cut.insert({daemon, executor});
+            fault.end = [this, daemon, executor] {
+                m_cluster.executors.cut.erase({daemon, executor});
+            };
+            return;
+        default: {
+            // One daemon's list lacks an executor, as when registrations come back after a cut.
+            if (!m_cluster.isUp(daemon))
+                return;
+            auto list = m_cluster.executors.infos();
+            std::erase_if(list, [&executor](const auto &it) { return it.id == executor; });
+            m_cluster.node(daemon).setExecutors(list);
+            fault.end = [this, daemon] {
+                if (m_cluster.isUp(daemon))
+                    m_cluster.node(daemon).setExecutors(m_cluster.executors.infos());
+            };
+            return;
+        }
+        }
+    }
+
+    void submit(const std::string &daemon, const std::string &id, std::uint32_t width)
+    {
+        m_cluster.submit(daemon, id, width, {static_cast<std::uint32_t>(3000 + draw(7000)), 64, 0},
+                         std::chrono::milliseconds(30 + draw(500)),
+                         std::chrono::milliseconds(800 + draw(2000)),
+                         static_cast<std::uint32_t>(draw(3)));
+    }
+
+    void callerActs()
+    {
+        const std::string daemon = pickDaemon();
+        if (!m_cluster.isUp(daemon) || m_cluster.daemons.at(daemon)->timers.isPaused())
+            return;
+        if (draw(12) == 0 && !m_cluster.jobs.empty()) {
+            const std::string id = "job" + std::to_string(draw(m_lastJob + 1));
+            m_cluster.node(daemon).jobs().cancel(JobId(id));
+            return;
+        }
+        submit(daemon, "job" + std::to_string(++m_lastJob),
+               1 + static_cast<std::uint32_t>(draw(8)));
+    }
+
+    /// Callers whose connection broke send their job again 1.3 s later, at any daemon.
+    void resendDue(int step)
+    {
+        for (auto &[key, job] : m_cluster.jobs) {
+            if (!job.isAbandoned)
+                continue;
+            job.isAbandoned = false;
+            const std::size_t begin = key.find('/') + 1;
+            m_resends.emplace_back(step + 65, key.substr(begin, key.rfind('/') - begin));
+        }
+        for (auto it = m_resends.begin(); it != m_resends.end();) {
+            if (it->first > step) {
+                ++it;
+                continue;
+            }
+            // The shape is that of the first submission.
+            const std::string id = it->second;
+            const Resources shape = m_cluster.shapes[JobId(id)];
+            m_cluster.submit(pickDaemon(), id, 4, shape, 200ms, 2s);
+            it = m_resends.erase(it);
+        }
+    }
+
+    /// After all faults have ended every group has one owner, and jobs are completed.
+    void checkServed()
+    {
+        if (!m_cluster.executors.violation.empty())
+            return;
+        for (const char *it : {"a", "b", "c"}) {
+            if (m_cluster.owners(it).size() != 1)
+                m_cluster.executors.violate(std::string("no single owner of ") + it);
+        }
+        const std::size_t before = completed();
+        for (const auto &[name, daemon] : m_cluster.daemons)
+            m_cluster.submit(name, "last-" + name, 3, {4000, 64, 0}, 300ms, 6s);
+        m_cluster.run(7s);
+        if (completed() != before + m_cluster.daemons.size())
+            m_cluster.executors.violate("jobs are not served after the faults");
+        for (const auto &[key, job] : m_cluster.jobs) {
+            if (!job.isAnswered && m_cluster.isUp(job.daemon)
+                && m_cluster.node(job.daemon).jobs().jobCount() > 0) {
+                m_cluster.executors.violate("a job has no answer: " + key);
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    DispatchCluster m_cluster;
+    Fault m_faults[3];
+    bool m_lossyOrders = false;
+    bool m_slowNetwork = false;
+    bool m_isSettled = false; // no faults any more
+    std::uint64_t m_lastJob = 0;
+    std::vector<std::pair<int, std::string>> m_resends; // step and job
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(randomSchedules)
+{
+    const std::uint64_t runs = environmentNumber("EP_RANDOM_RUNS", 300);
+    const std::uint64_t first = environmentNumber("EP_RANDOM_SEED", 1);
+    Base::setLogLevel(std::getenv("EP_LOG") ? Base::LogLevel::Debug : Base::LogLevel::Error);
+    std::size_t failures = 0;
+    std::size_t completed = 0;
+    for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        Schedule schedule(seed);
+        const std::string violation = schedule.run();
+        completed += schedule.completed();
+        if (violation.empty())
+            continue;
+        ++failures;
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << violation);
+        BOOST_ERROR("seed " << seed << ": " << violation);
+        if (failures > 10)
+            break;
+    }
+    BOOST_TEST(completed > runs * 20);
+}
