Dispatch: reports from before a change of ownership are ignored

Change: reports carry the group's token. The wire test covers the new messages. Ruled out: the sender's name alone, which is the same before and after.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -186,8 +186,13 @@
         }
         it->second->submit(from, *batch);
     } else if (const auto *reports = std::get_if<Wire::TaskReports>(&message)) {
-        if (m_rights.owner(GroupId(reports->group)) == from)
+        // A report from before a change of ownership crosses the claim to the new owner, which may
+        // be the same daemon.
+        const GroupId group(reports->group);
+        if (m_rights.owner(group) == from
+            && FencingToken(reports->token) >= m_rights.token(group)) {
             m_jobs.reportsReceived(*reports);
+        }
     } else if (const auto *members = std::get_if<Wire::GroupMembers>(&message)) {
         Wire::GroupMembers &known = m_members[GroupId(members->group)];
         if (members->token >= known.token)
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -799,6 +799,7 @@
 {
     Wire::TaskReports &reports = m_reports[{coordinator, id.job}];
     reports.group = m_group.value();
+    reports.token = m_token.value();
     reports.job = id.job.value();
     reports.reports.push_back({id.occurrence, id.step, id.index, run.value(),
                                static_cast<std::uint8_t>(state), executor.value()});
--- a/src/libs/dispatch/grouprights.cpp
+++ b/src/libs/dispatch/grouprights.cpp
@@ -202,9 +202,10 @@
     return it->second.claim->owner;
 }
 
-bool GroupRights::isOwned(const GroupId &group) const
+FencingToken GroupRights::token(const GroupId &group) const
 {
-    return owner(group) == m_self;
+    const auto it = m_groups.find(group);
+    return it != m_groups.end() && it->second.claim ? it->second.claim->token : FencingToken();
 }
 
 std::size_t GroupRights::rank(const GroupId &id, const Group &group) const
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -272,10 +272,11 @@
 struct TaskReports
 {
     std::string group;
+    std::uint64_t token = 0;
     std::string job;
     std::vector<TaskReport> reports;
 
-    MSGPACK_DEFINE(group, job, reports)
+    MSGPACK_DEFINE(group, token, job, reports)
 };
 
 /// Drops the waiting tasks of a job and stops its running ones.
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -30,6 +30,9 @@
     } else if constexpr (N == 2) {
         auto &[a, b] = m;
         return std::tie(a, b);
+    } else if constexpr (N == 3) {
+        auto &[a, b, c] = m;
+        return std::tie(a, b, c);
     } else if constexpr (N == 4) {
         auto &[a, b, c, d] = m;
         return std::tie(a, b, c, d);
@@ -39,14 +42,20 @@
     } else if constexpr (N == 6) {
         auto &[a, b, c, d, e, f] = m;
         return std::tie(a, b, c, d, e, f);
-    } else {
+    } else if constexpr (N == 7) {
         auto &[a, b, c, d, e, f, g] = m;
         return std::tie(a, b, c, d, e, f, g);
+    } else if constexpr (N == 8) {
+        auto &[a, b, c, d, e, f, g, h] = m;
+        return std::tie(a, b, c, d, e, f, g, h);
+    } else {
+        auto &[a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t);
     }
 }
 
 // Numbers of members in the order of the variant.
-static constexpr std::size_t MEMBERS[] = {5, 6, 1, 2, 7, 4, 2, 7, 4, 5, 1, 2};
+static constexpr std::size_t MEMBERS[] = {5, 6, 1, 2, 7, 4, 2, 7, 4, 5, 1, 2, 5, 5, 19, 4, 2, 3};
 static_assert(std::size(MEMBERS) == std::variant_size_v<Message>);
 
 class Generator
@@ -89,7 +98,18 @@
     }
     void set(bool &value) { value = below(2) == 1; }
     void set(std::string &value) { value = text(below(10) == 0 ? 70'000 : 40); }
-    void set(OwnedShard &value) { set(value.shard), set(value.epoch); }
+    void set(OwnedShard &value) { setMembers<2>(value); }
+    void set(GroupClaim &value) { setMembers<4>(value); }
+    void set(ExecutorLoad &value) { setMembers<8>(value); }
+    void set(QueueLoad &value) { setMembers<3>(value); }
+    void set(BatchTask &value) { setMembers<4>(value); }
+    void set(TaskReport &value) { setMembers<6>(value); }
+    void set(GroupMember &value) { setMembers<4>(value); }
+    template<std::size_t N, class T>
+    void setMembers(T &value)
+    {
+        std::apply([this](auto &...member) { (set(member), ...); }, fields<N>(value));
+    }
     template<class T>
     void set(std::vector<T> &values)
     {
@@ -104,7 +124,31 @@
 namespace Wire {
 static bool operator==(const OwnedShard &a, const OwnedShard &b)
 {
-    return a.shard == b.shard && a.epoch == b.epoch;
+    return fields<2>(a) == fields<2>(b);
+}
+static bool operator==(const GroupClaim &a, const GroupClaim &b)
+{
+    return fields<4>(a) == fields<4>(b);
+}
+static bool operator==(const ExecutorLoad &a, const ExecutorLoad &b)
+{
+    return fields<8>(a) == fields<8>(b);
+}
+static bool operator==(const QueueLoad &a, const QueueLoad &b)
+{
+    return fields<3>(a) == fields<3>(b);
+}
+static bool operator==(const BatchTask &a, const BatchTask &b)
+{
+    return fields<4>(a) == fields<4>(b);
+}
+static bool operator==(const TaskReport &a, const TaskReport &b)
+{
+    return fields<6>(a) == fields<6>(b);
+}
+static bool operator==(const GroupMember &a, const GroupMember &b)
+{
+    return fields<4>(a) == fields<4>(b);
 }
 } // namespace Wire
 
