--- /dev/null
+++ b/tests/auto/platform/tst_jobgateway.cpp
@@ -0,0 +1,133 @@
+// Status codes of the callers' interface.
+#undef BOOST_TEST_MODULE
+#include <platform/jobgateway.h>
+#include <support/manualtimers.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+class NoOwners : public Dispatch::GroupSender
+{
+public:
+    bool sendToOwner(const Dispatch::GroupId &, const Wire::Message &message) override
+    {
+        messages.push_back(message);
+        return true;
+    }
+    std::vector<Wire::Message> messages;
+};
+
+struct Fixture
+{
+    void apply()
+    {
+        Dispatch::DesiredState state;
+        state.version = Base::Revision(1);
+        Dispatch::QueueRoute route{"one.example", "/q/", {}};
+        route.policy.service = Dispatch::ServiceId("s");
+        route.policy.stretch = 1.6;
+        state.routes.push_back(route);
+        queues.apply(state);
+    }
+    void addExecutor()
+    {
+        directory.setGroups({{Dispatch::GroupId("g"), Base::FailureDomainId("g")}});
+        Wire::GroupLoad load;
+        load.group = "g";
+        load.executors.push_back({"s", "", "", 16000, 1000, 0, 16000, 100});
+        directory.loadReceived(load);
+    }
+    /// Status of the answer, or 0 if there is none yet.
+    int send(const std::string &method, const std::string &target, const std::string &text = "",
+             std::uint64_t connection = 1)
+    {
+        Http::Request request;
+        request.method = method;
+        request.host = "one.example:8161";
+        request.rawPath = target;
+        request.body = text;
+        request.deadline = "2000";
+        request.connection = connection;
+        const auto status = std::make_shared<int>(0);
+        gateway.handle(request, [this, status](const Http::Response &response) {
+            *status = response.status;
+            statuses.push_back(response.status);
+        });
+        return *status;
+    }
+
+    TestSupport::ManualTimers timers;
+    Dispatch::GroupDirectory directory{Base::FailureDomainId("g")};
+    NoOwners owners;
+    Dispatch::JobCoordinator jobs{timers, directory, owners};
+    Dispatch::QueueTable queues;
+    JobGateway gateway{timers, jobs, queues};
+    std::vector<int> statuses;
+    const std::string path = "/q/5c0e7a21d94b36f8";
+    const std::string body =
+        R"({"bestEffort":true,"spec":"x","phases":[{"count":1,"cpu":1000,"estimateMs":60}]})";
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(jobgateway, Fixture)
+
+BOOST_AUTO_TEST_CASE(statusCodes)
+{
+    BOOST_TEST(send("POST", path, body) == 503); // no desired state yet
+    apply();
+    BOOST_TEST(send("POST", "/other/5c0e7a21d94b36f8", body) == 404);
+    BOOST_TEST(send("POST", "/q/short", body) == 404);
+    BOOST_TEST(send("GET", "/q/") == 200);
+    BOOST_TEST(send("GET", "/other/") == 404);
+    BOOST_TEST(send("GET", path) == 410);
+    BOOST_TEST(send("DELETE", path) == 410);
+    BOOST_TEST(send("PATCH", path) == 405);
+    BOOST_TEST(send("POST", path, "{") == 400);
+    BOOST_TEST(send("POST", path, body) == 503); // no executor is known
+    addExecutor();
+    BOOST_TEST(send("POST", path, R"({"phases":[{"count":1}]})") == 503); // stored jobs
+    BOOST_TEST(send("POST", path, body) == 0);
+    BOOST_TEST(owners.messages.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(bothCallersOfOneJobAreAnswered)
+{
+    apply();
+    addExecutor();
+    send("POST", path, body, 1);
+    send("POST", path, body, 2);
+    BOOST_TEST(jobs.jobCount() == 1U);
+    gateway.connectionClosed(1);
+    BOOST_TEST(jobs.jobCount() == 1U);
+    jobs.reportsReceived({"g", 1, "5c0e7a21d94b36f8", {{0, 0, 0, 1, 1, "x"}}});
+    BOOST_TEST(statuses.size() == 1U);
+    BOOST_TEST(statuses.back() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(jobOfALostCallerIsCancelled)
+{
+    apply();
+    addExecutor();
+    send("POST", path, body, 1);
+    gateway.connectionClosed(1);
+    BOOST_TEST(jobs.jobCount() == 0U);
+    BOOST_TEST(std::holds_alternative<Wire::StopJob>(owners.messages.back()));
+}
+
+// Nothing is held back: the answer comes at the deadline, and says whether anything may have run.
+BOOST_AUTO_TEST_CASE(deadlineIsAnswered)
+{
+    apply();
+    addExecutor();
+    send("POST", path, body);
+    timers.advance(2s);
+    jobs.tick();
+    BOOST_TEST(statuses.back() == 504);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/platform/tst_platform.cpp
@@ -0,0 +1,295 @@
+// Decoding of the platform's formats, with input that is broken in all ways that a writer may.
+#include <platform/executorcodec.h>
+#include <platform/jobcodec.h>
+#include <platform/platformsettings.h>
+#include <platform/registrations.h>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Platform;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+static const char *const ID = "5c0e7a21d94b36f8";
+
+BOOST_AUTO_TEST_SUITE(registrations)
+
+static json registration()
+{
+    return {{"service", "huvo11a"},
+            {"address", "10.128.0.9:8080"},
+            {"zone", "center"},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}},
+            {"labels", {"a", "r1-3"}},
+            {"born", 1767266036033},
+            {"sequence", 4}};
+}
+
+BOOST_AUTO_TEST_CASE(executorIsDecoded)
+{
+    const auto executor = decodeExecutor("i-1", registration().dump());
+    BOOST_REQUIRE(executor.has_value());
+    BOOST_TEST(executor->id.value() == "i-1");
+    BOOST_TEST(executor->domain.value() == "center");
+    BOOST_TEST(executor->capacity.cpuMillis == 16000U);
+    BOOST_TEST(executor->kind == "a");
+    BOOST_TEST(executor->rack == "r1-3");
+    BOOST_TEST(!executor->draining);
+    BOOST_TEST(executor->lifetime.value() == 1767266036033U);
+}
+
+// Other writers leave rows that name no executor; the others must still hold.
+BOOST_AUTO_TEST_CASE(foreignRowsAreIgnored)
+{
+    BOOST_TEST(!decodeExecutor("i", "").has_value());
+    BOOST_TEST(!decodeExecutor("i", "\xff\xfe\x00").has_value());
+    BOOST_TEST(!decodeExecutor("i", "[1,2]").has_value());
+    BOOST_TEST(!decodeExecutor("i", std::string(20'000, '[')).has_value());
+    for (const char *it : {"service", "address", "zone", "state", "capacity"}) {
+        json row = registration();
+        row.erase(it);
+        BOOST_TEST(!decodeExecutor("i", row.dump()).has_value(), it);
+        row[it] = 17;
+        BOOST_TEST(!decodeExecutor("i", row.dump()).has_value(), it);
+    }
+    json row = registration();
+    row["state"] = "sleeping";
+    BOOST_TEST(!decodeExecutor("i", row.dump()).has_value());
+    row = registration();
+    row["born"] = 1.5;
+    BOOST_TEST(!decodeExecutor("i", row.dump()).has_value());
+    row = registration();
+    row["labels"] = {1, nullptr, "b"};
+    BOOST_TEST(decodeExecutor("i", row.dump())->kind == "b");
+}
+
+BOOST_AUTO_TEST_CASE(drainingExecutor)
+{
+    json row = registration();
+    row["state"] = "draining";
+    BOOST_TEST(decodeExecutor("i", row.dump())->draining);
+}
+
+BOOST_AUTO_TEST_CASE(desiredState)
+{
+    const json document = {{"version", 7},
+                           {"routes",
+                            {{{"name", "r-1"},
+                              {"host", "nony24.example"},
+                              {"pathPrefix", "/pule252/"},
+                              {"service", "s"},
+                              {"priority", 1},
+                              {"maxAttempts", 4},
+                              {"stretch", 1.6},
+                              {"targetCompletionMs", 60},
+                              {"timeoutMs", 1500}}}},
+                           {"limits", {{"maxBodyBytes", 262144}}}};
+    const auto state = decodeDesiredState(document.dump());
+    BOOST_REQUIRE(state.has_value());
+    BOOST_TEST(state->version.value() == 7U);
+    BOOST_TEST(state->maxBodyBytes == 262144U);
+    const Dispatch::QueuePolicy &policy = state->routes.at(0).policy;
+    BOOST_TEST(policy.priority == 1U);
+    BOOST_TEST(policy.maxAttempts == 4U);
+    BOOST_TEST((policy.targetCompletion == 60ms));
+    BOOST_TEST(!decodeDesiredState("{}").has_value());
+    BOOST_TEST(!decodeDesiredState(R"({"version":0,"routes":[]})").has_value());
+    BOOST_TEST(!decodeDesiredState(R"({"version":3,"routes":[4]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(daemonRow)
+{
+    const Settings::PeerSettings peer{
+        Base::DaemonId("edge-1"), Base::FailureDomainId("center"), {"10.1.0.1", 7720}};
+    const auto decoded = decodeDaemon("edge-1", encodeDaemon(peer));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == peer));
+    BOOST_TEST(!decodeDaemon("edge-1", "{}").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(executors)
+
+BOOST_AUTO_TEST_CASE(taskNames)
+{
+    const Dispatch::TaskId task{Dispatch::JobId(ID), 0, 1, 17};
+    BOOST_TEST(encodeTaskName(task) == std::string(ID) + ".0.1.17");
+    BOOST_TEST((decodeTaskName(encodeTaskName(task)) == task));
+    for (const char *it : {"", ".", "x", "x.1", "x.1.2", "x.a.b.c", ".0.0.0"})
+        BOOST_TEST(!decodeTaskName(it).has_value(), it);
+}
+
+BOOST_AUTO_TEST_CASE(orderAnswers)
+{
+    using Dispatch::OrderOutcome;
+    using Dispatch::RefusalReason;
+    BOOST_TEST((decodeOrderAnswer(200, R"({"clockMs":482113})").clock->count() == 482113));
+    const std::pair<const char *, RefusalReason> reasons[] = {{"fence", RefusalReason::Fenced},
+                                                              {"old", RefusalReason::OldRun},
+                                                              {"late", RefusalReason::LeaseExpired},
+                                                              {"room", RefusalReason::NoRoom},
+                                                              {"ticket", RefusalReason::Other}};
+    for (const auto &[name, reason] : reasons) {
+        const auto result = decodeOrderAnswer(409, json({{"reason", name}}).dump());
+        BOOST_TEST((result.outcome == OrderOutcome::Refused));
+        BOOST_TEST((result.refusal == reason), name);
+    }
+    BOOST_TEST((decodeOrderAnswer(421, "").outcome == OrderOutcome::OtherLifetime));
+    BOOST_TEST((decodeOrderAnswer(503, "").outcome == OrderOutcome::Unhealthy));
+    BOOST_TEST((decodeOrderAnswer(429, "{").outcome == OrderOutcome::Unhealthy));
+    // Nothing is known of an answer that the platform does not give.
+    BOOST_TEST((decodeOrderAnswer(500, "").outcome == OrderOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(listing)
+{
+    const std::string name = std::string(ID) + ".0.1.";
+    const json body = {{"clockMs", 5},
+                       {"born", 9},
+                       {"running", {{name + "17", 2, "", 41}, {"broken", 1}, 5, {name + "1"}}},
+                       {"ended",
+                        {{59, name + "9", 1, "failed", ""},
+                         {58, name + "8", 1, "done", ""},
+                         {60, name + "7", 1, "vanished", ""}}}};
+    const auto result = decodeHoldAnswer(200, body.dump());
+    BOOST_TEST(result.lifetime.value() == 9U);
+    BOOST_REQUIRE(result.running.size() == 1U);
+    BOOST_TEST(result.running[0].run.value() == 2U);
+    BOOST_REQUIRE(result.ended.size() == 2U);
+    BOOST_TEST(result.ended[0].sequence.value() == 58U);
+    BOOST_TEST((result.ended[1].end == Dispatch::RunEnd::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(orders)
+{
+    Dispatch::StartOrder start;
+    start.task = {Dispatch::JobId(ID), 0, 0, 3};
+    start.run = Dispatch::RunNumber(2);
+    start.payload = "quote \" and \xC3\xA9";
+    start.token = Dispatch::FencingToken(7);
+    json body = json::parse(encodeStart(start));
+    BOOST_TEST(!body.contains("untilMs"));
+    BOOST_TEST(body["spec"] == start.payload);
+    start.leaseEnd = 486000ms;
+    body = json::parse(encodeStart(start));
+    BOOST_TEST(body["untilMs"] == 486000);
+    Dispatch::HoldOrder hold;
+    hold.wait = 300ms;
+    body = json::parse(encodeHold(hold));
+    BOOST_TEST(body["waitMs"] == 300);
+    BOOST_TEST(body["seenUpto"] == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(jobs)
+
+static std::optional<DecodedJob> decode(const std::string &body)
+{
+    std::string error;
+    auto job = decodeJob(ID, body, error);
+    BOOST_TEST((job.has_value() || !error.empty()));
+    return job;
+}
+
+BOOST_AUTO_TEST_CASE(jobIsDecoded)
+{
+    const auto job = decode(
+        R"({"spec":"text","bestEffort":true,"phases":[
+            {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+            {"count":20,"cpu":2000,"estimateMs":7000,"after":[0],"maxPerServer":2}]})");
+    BOOST_REQUIRE(job.has_value());
+    BOOST_TEST(job->isAnsweredAtEnd);
+    BOOST_TEST(job->unsupported.empty());
+    BOOST_TEST(job->spec.steps.size() == 2U);
+    BOOST_TEST(job->spec.steps[0].preferredRack == "r1-3");
+    BOOST_TEST(job->spec.steps[1].after.size() == 1U);
+    BOOST_TEST(job->spec.steps[1].maxPerExecutor == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(malformedJobs)
+{
+    const std::string step = R"({"count":1,"cpu":1})";
+    std::string many = step;
+    for (int i = 0; i < 300; ++i)
+        many += "," + step;
+    const std::string bodies[] = {
+        "",
+        "no json",
+        "[]",
+        "{}",
+        R"({"phases":[]})",
+        R"({"phases":{}})",
+        R"({"phases":[5]})",
+        R"({"phases":[{"cpu":1}]})",
+        R"({"phases":[{"count":0}]})",
+        R"({"phases":[{"count":-1}]})",
+        R"({"phases":[{"count":"many"}]})",
+        R"({"phases":[{"count":1e18}]})",
+        R"({"phases":[{"count":5000}]})",
+        R"({"phases":[{"count":1,"cpu":-5}]})",
+        R"({"phases":[{"count":1,"after":[0]}]})",
+        R"({"phases":[{"count":1,"after":5}]})",
+        R"({"spec":5,"phases":[{"count":1}]})",
+        R"({"spec":")" + std::string(5000, 'x') + R"(","phases":[{"count":1}]})",
+        R"({"phases":[)" + many + "]}",
+        std::string(100'000, '['),
+        R"({"phases":)" + std::string(10'000, '['),
+    };
+    for (const std::string &it : bodies)
+        BOOST_TEST(!decode(it).has_value(), it.substr(0, 60));
+}
+
+BOOST_AUTO_TEST_CASE(unsupportedFeaturesAreNamed)
+{
+    const auto job = decode(R"({"bestEffort":true,"phases":[{"count":2,"coSchedule":true}]})");
+    BOOST_TEST(job->unsupported == "coSchedule");
+    BOOST_TEST(decode(R"({"repeatCount":3,"phases":[{"count":2}]})")->unsupported == "repeatCount");
+}
+
+BOOST_AUTO_TEST_CASE(jobIds)
+{
+    BOOST_TEST(isJobId(ID));
+    BOOST_TEST(!isJobId("5c0e7a21d94b36f"));
+    BOOST_TEST(!isJobId("5c0e7a21d94b36fg"));
+    BOOST_TEST(!isJobId(""));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+static const char *const GOOD = R"({
+  "daemon": "edge-1", "failureDomain": "center", "address": "10.1.0.13", "peerPort": 7720,
+  "operatorPort": 7721, "callers": "10.1.0.13:8161", "readiness": "10.1.0.13:8167",
+  "store": "10.200.1.7:8169", "orders": "invocation", "graceSeconds": 6, "leaseMs": 1000 })";
+
+BOOST_AUTO_TEST_CASE(goodSettings)
+{
+    Settings::FaultList faults;
+    const auto parsed = parsePlatformSettings(GOOD, faults);
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed->store.port == 8169);
+    BOOST_TEST(parsed->daemon.peerEndpoint.port == 7720);
+    BOOST_TEST((parsed->grace == 6s));
+}
+
+// Faults are all reported at once, each with its place.
+BOOST_AUTO_TEST_CASE(faultySettings)
+{
+    json document = json::parse(GOOD);
+    document["store"] = "nowhere";
+    document["callers"] = "10.1.0.13:0";
+    document["orders"] = "heartbeat";
+    document["leaseMs"] = 100;
+    document["surplus"] = 1;
+    document.erase("daemon");
+    Settings::FaultList faults;
+    BOOST_TEST(!parsePlatformSettings(document.dump(), faults).has_value());
+    BOOST_TEST(faults.faults().size() == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/storage/tst_storage.cpp
@@ -0,0 +1,135 @@
+// The copy of a table under outages, stale reads and lost history.
+#include <storage/tablefollower.h>
+#include <support/manualtimers.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace Storage;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers when the test says so.
+class FakeFeed : public TableFeed
+{
+public:
+    void readAll(const std::string &, Callback callback) override
+    {
+        ++reads;
+        pending.push_back(std::move(callback));
+    }
+    void awaitChanges(const std::string &, StoreVersion after, Base::Duration,
+                      Callback callback) override
+    {
+        ++waits;
+        lastAfter = after;
+        pending.push_back(std::move(callback));
+    }
+    void answer(const FeedResult &result)
+    {
+        BOOST_REQUIRE(!pending.empty());
+        const Callback callback = std::move(pending.front());
+        pending.pop_front();
+        callback(result);
+    }
+
+    int reads = 0;
+    int waits = 0;
+    StoreVersion lastAfter;
+    std::deque<Callback> pending;
+};
+
+TableRow row(const char *key, const char *value, std::uint64_t version, bool isRemoved = false)
+{
+    return {key, value, StoreVersion(version), isRemoved};
+}
+
+FeedResult ok(std::vector<TableRow> rows, std::uint64_t version)
+{
+    return {FeedStatus::Ok, std::move(rows), StoreVersion(version)};
+}
+
+struct Fixture
+{
+    Fixture() { follower.start(); }
+
+    TestSupport::ManualTimers timers;
+    FakeFeed feed;
+    int changes = 0;
+    TableFollower follower{feed, timers, "table", {.gather = 500ms}, [this] { ++changes; }};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(tablefollower, Fixture)
+
+BOOST_AUTO_TEST_CASE(readsThenFollows)
+{
+    feed.answer(ok({row("a", "1", 3)}, 5));
+    BOOST_TEST(follower.isRead());
+    BOOST_TEST(feed.lastAfter.value() == 5U);
+    feed.answer(ok({row("a", "2", 6), row("b", "1", 7)}, 7));
+    BOOST_TEST(follower.rows().at("a").value == "2");
+    BOOST_TEST(follower.rows().size() == 2U);
+    BOOST_TEST(changes == 2);
+}
+
+// Each call to the store is paid for: changes gather before the next one.
+BOOST_AUTO_TEST_CASE(pausesAfterChanges)
+{
+    feed.answer(ok({}, 5));
+    feed.answer(ok({row("a", "1", 6)}, 6));
+    BOOST_TEST(feed.waits == 1);
+    timers.advance(499ms);
+    BOOST_TEST(feed.waits == 1);
+    timers.advance(1ms);
+    BOOST_TEST(feed.waits == 2);
+    feed.answer(ok({}, 6)); // a wait without a change is followed by the next at once
+    BOOST_TEST(feed.waits == 3);
+}
+
+// After the history is gone a read may be seconds old. No row goes back, and none that was removed
+// comes back.
+BOOST_AUTO_TEST_CASE(staleReadChangesNothing)
+{
+    feed.answer(ok({row("a", "old", 3), row("gone", "x", 2)}, 5));
+    feed.answer(ok({row("a", "new", 8), row("gone", "", 9, true), row("fresh", "y", 10)}, 10));
+    timers.advance(500ms);
+    feed.answer({FeedStatus::HistoryGone, {}, {}});
+    BOOST_TEST(feed.reads == 2);
+    feed.answer(ok({row("a", "old", 3), row("gone", "x", 2)}, 6));
+    BOOST_TEST(follower.rows().at("a").value == "new");
+    BOOST_TEST(!follower.rows().contains("gone"));
+    BOOST_TEST(follower.rows().contains("fresh"));
+    // Following goes on from the old version, so that nothing between is missed.
+    BOOST_TEST(feed.lastAfter.value() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(rowMissingFromANewerSnapshotIsRemoved)
+{
+    feed.answer(ok({row("a", "1", 3)}, 5));
+    feed.answer({FeedStatus::HistoryGone, {}, {}});
+    feed.answer(ok({}, 9));
+    BOOST_TEST(follower.rows().empty());
+    BOOST_TEST(changes == 2);
+}
+
+BOOST_AUTO_TEST_CASE(outageIsRetriedWithGrowingPauses)
+{
+    feed.answer({});
+    BOOST_TEST(feed.reads == 1);
+    timers.advance(100ms);
+    BOOST_TEST(feed.reads == 2);
+    feed.answer({});
+    timers.advance(100ms);
+    BOOST_TEST(feed.reads == 2);
+    timers.advance(100ms);
+    BOOST_TEST(feed.reads == 3);
+    BOOST_TEST((follower.age() >= 300ms));
+    feed.answer(ok({}, 1));
+    BOOST_TEST((follower.age() == 0ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
