Dispatch: large failure domains have several groups; owners by capacity

Change: above 40 executors a domain is divided into groups of about a dozen; owners are ranked by a hash weighted by the processor of their hosts; above 16 peers, claims of others are left out of state messages, and state and load go to other domains less often. Ruled out: nothing below that size changes, as the counts and factors are 1 there.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -67,6 +67,19 @@
 constexpr milliseconds CLAIM_RANK_DELAY_MS{300};
 /// A daemon of the group's own domain takes the group back after it has been up for this long.
 constexpr milliseconds HOME_CLAIM_DELAY_MS{1500};
+/// Above this number of peers, daemons tell each other only their own claims, and load and state go
+/// to other failure domains less often.
+constexpr std::size_t MAX_GOSSIP_PEERS = 16;
+/// In such a deployment only every so many messages go to other domains.
+constexpr std::uint64_t REMOTE_STATE_EVERY = 3;
+constexpr std::uint64_t REMOTE_LOAD_EVERY = 4;
+/// The executors of a failure domain form one group up to this number...
+constexpr std::size_t MAX_UNDIVIDED_EXECUTORS = 40;
+/// ...and above it are divided, so that no host has to order more than about 20.
+constexpr std::size_t EXECUTORS_PER_GROUP = 12;
+/// Numbers of groups rise by this factor, so that a few executors more or less change nothing.
+constexpr std::size_t GROUP_COUNT_FACTOR = 4;
+
 /// Added to the round after a refusal by an executor whose higher token nobody claims.
 constexpr std::uint64_t ROUND_STEP = 64;
 /// Rounds of a daemon that starts begin this much above those of the daemon registered before it.
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -1,8 +1,7 @@
 // Messages between the parts, and their timers.
 #include "dispatchnode.h"
 
-#include "dispatchconstants.h"
-
+#include <base/hash.h>
 #include <base/log.h>
 
 #include <algorithm>
@@ -49,14 +48,41 @@
     return ids;
 }
 
+/// A domain with many executors has several groups, and their owners share its load.
+void DispatchNode::divideDomains(const std::vector<ExecutorInfo> &executors)
+{
+    std::map<Base::FailureDomainId, std::size_t> sizes;
+    for (const ExecutorInfo &it : executors)
+        ++sizes[it.domain];
+    for (const auto &[domain, n] : sizes) {
+        std::size_t count = 1;
+        if (n > Constants::MAX_UNDIVIDED_EXECUTORS) {
+            for (count = 2; count * Constants::EXECUTORS_PER_GROUP * 2 < n;)
+                count *= Constants::GROUP_COUNT_FACTOR;
+        }
+        std::size_t &known = m_groupCounts[domain];
+        known = std::max(known, count);
+    }
+}
+
+GroupId DispatchNode::groupOf(const ExecutorInfo &executor) const
+{
+    const std::size_t count = m_groupCounts.at(executor.domain);
+    if (count == 1)
+        return GroupId(executor.domain.value());
+    const std::uint64_t index = Base::stableHash(executor.id.value()) % count;
+    return GroupId(executor.domain.value() + "/" + std::to_string(index));
+}
+
 void DispatchNode::setExecutors(const std::vector<ExecutorInfo> &executors)
 {
+    divideDomains(executors);
     std::map<GroupId, Base::FailureDomainId> groups;
     std::map<GroupId, std::vector<ExecutorInfo>> lists;
     for (const auto &[id, list] : m_executors)
         lists[id]; // a group without executors stays known
     for (const ExecutorInfo &it : executors) {
-        const GroupId group(it.domain.value());
+        const GroupId group = groupOf(it);
         groups.emplace(group, it.domain);
         lists[group].push_back(it);
     }
@@ -321,8 +347,9 @@
 void DispatchNode::sendStates()
 {
     m_lastStates = m_timers.now();
+    const bool isForAll = !isLarge() || m_stateRound++ % Constants::REMOTE_STATE_EVERY == 0;
     for (const auto &[peer, connections] : m_connections) {
-        if (m_peers.isConnected(peer))
+        if (m_peers.isConnected(peer) && (isForAll || !m_rights.isRemote(peer)))
             sendState(peer, connections);
     }
     for (const Base::DaemonId &it : m_rights.peersToReset())
@@ -331,11 +358,13 @@
 
 void DispatchNode::sendLoads()
 {
+    const Base::Duration interval = Constants::LOAD_REPORT_MS * (isLarge() ? 2 : 1);
     for (const auto &[id, group] : m_owned) {
-        if (!group->isLoadReportDue())
+        if (!group->isLoadReportDue(interval))
             continue;
+        const bool isForAll = !isLarge() || m_loadRound++ % Constants::REMOTE_LOAD_EVERY == 0;
         for (const auto &[peer, connections] : m_connections) {
-            if (m_peers.isConnected(peer))
+            if (m_peers.isConnected(peer) && (isForAll || !m_rights.isRemote(peer)))
                 m_peers.send(peer, group->loadFor(peer));
         }
         m_directory.loadReceived(group->loadFor(m_self));
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -1,6 +1,7 @@
 // The dispatch of one daemon: its jobs, the groups that it orders, and its view of all groups.
 #pragma once
 
+#include "dispatchconstants.h"
 #include "executorgroup.h"
 #include "groupdirectory.h"
 #include "grouprights.h"
@@ -30,6 +31,8 @@
     /// No timer and no answer to an order has an effect after this.
     void stop();
 
+    /// See GroupRights::setCapacity().
+    void setCapacity(std::uint32_t cpuMillis) { m_rights.setCapacity(cpuMillis); }
     /// A number that no other daemon has had, higher than those of earlier daemons.
     void setDaemonNumber(std::uint64_t number) { m_rights.setDaemonNumber(number); }
     /// The registered executors of the whole deployment.
@@ -65,6 +68,9 @@
     void sendStates();
     void sendLoads();
     void tick();
+    GroupId groupOf(const ExecutorInfo &executor) const;
+    void divideDomains(const std::vector<ExecutorInfo> &executors);
+    bool isLarge() const { return m_connections.size() > Constants::MAX_GOSSIP_PEERS; }
     void sendMembers(const GroupId &group);
     void updateGroup(const GroupId &id, ExecutorGroup &group);
     bool areMessagesStale() const;
@@ -86,6 +92,9 @@
     std::map<GroupId, Wire::GroupMembers> m_members;
     std::map<Base::DaemonId, std::uint64_t> m_connections; // made to each peer
     std::map<Base::DaemonId, std::pair<Base::Incarnation, std::uint64_t>> m_peerConnections;
+    std::map<Base::FailureDomainId, std::size_t> m_groupCounts; // by domain; never fall
+    std::uint64_t m_stateRound = 0;
+    std::uint64_t m_loadRound = 0;
     Base::TimerId m_tickTimer;
     Base::TimePoint m_lastTick;
     Base::TimePoint m_staleUntil; // messages that waited through a pause arrive until then
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -983,11 +983,10 @@
     flushReports();
 }
 
-bool ExecutorGroup::isLoadReportDue() const
+bool ExecutorGroup::isLoadReportDue(Base::Duration interval) const
 {
     const Base::Duration age = m_timers.now() - m_lastReport;
-    return (m_isLoadChanged && age >= Constants::LOAD_REPORT_MS)
-           || age >= Constants::LOAD_REPEAT_MS;
+    return (m_isLoadChanged && age >= interval) || age >= Constants::LOAD_REPEAT_MS;
 }
 
 void ExecutorGroup::loadReported()
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -67,7 +67,7 @@
     void retire() { m_isFenced = true; }
 
     /// Load for \a recipient, or nothing if a report is not due.
-    bool isLoadReportDue() const;
+    bool isLoadReportDue(Base::Duration interval) const;
     Wire::GroupLoad loadFor(const Base::DaemonId &recipient) const;
     void loadReported();
 
--- a/src/libs/dispatch/grouprights.cpp
+++ b/src/libs/dispatch/grouprights.cpp
@@ -7,6 +7,8 @@
 #include <base/log.h>
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace Dispatch {
@@ -90,6 +92,7 @@
     p.heard = now;
     p.heardAgo = std::chrono::milliseconds(state.heardAgoMs);
     p.isDraining = state.draining;
+    p.capacity = std::max(1U, state.capacity);
     p.isLost = false;
     for (const Wire::GroupClaim &it2 : state.claims)
         mergeClaim(it2);
@@ -202,18 +205,28 @@
     return it->second.claim->owner;
 }
 
+bool GroupRights::isRemote(const Base::DaemonId &peer) const
+{
+    const auto it = m_peers.find(peer);
+    return it != m_peers.end() && it->second.domain != m_domain;
+}
+
 std::size_t GroupRights::rank(const GroupId &id, const Group &group) const
 {
-    // Daemons of the group's own domain come first. The hash spreads groups over equal daemons.
-    const auto key = [&](const Base::DaemonId &daemon, const Base::FailureDomainId &domain) {
-        return std::pair(domain != group.domain,
-                         Base::stableHash(id.value() + "/" + daemon.value()));
+    // Daemons of the group's own domain come first. The hash, weighted by the capacity of the
+    // hosts, spreads the groups over them.
+    const auto key = [&](const Base::DaemonId &daemon, const Base::FailureDomainId &domain,
+                         std::uint32_t capacity) {
+        const double uniform =
+            (static_cast<double>(Base::stableHash(id.value() + "/" + daemon.value()) >> 11) + 1)
+            / 9007199254740993.0; // 2^53 + 1
+        return std::tuple(domain != group.domain, -std::log(uniform) / capacity, daemon);
     };
-    const auto own = key(m_self, m_domain);
+    const auto own = key(m_self, m_domain, m_capacity);
     return static_cast<std::size_t>(
         std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &it) {
             return !it.second.isDraining && isAlive(it.first)
-                   && key(it.first, it.second.domain) < own;
+                   && key(it.first, it.second.domain, it.second.capacity) < own;
         }));
 }
 
@@ -329,9 +342,14 @@
     state.draining = m_isDraining;
     const auto it = m_peers.find(peer);
     state.heardAgoMs = it == m_peers.end() ? 0 : age(it->second.heard);
+    state.capacity = m_capacity;
     state.dropped = it == m_peers.end() ? 0 : it->second.dropped;
+    // In a large deployment the claims of others are left out: they grow with the square of its
+    // size.
+    const bool areAllTold = m_peers.size() <= Constants::MAX_GOSSIP_PEERS;
     for (const auto &[id, group] : m_groups) {
-        if (group.claim && isClaimValid(group)) {
+        const bool isTold = group.claim && (areAllTold || group.claim->owner == m_self);
+        if (isTold && isClaimValid(group)) {
             state.claims.push_back({id.value(), group.claim->owner.value(),
                                     group.claim->token.value(), age(group.claim->confirmed)});
         }
--- a/src/libs/dispatch/grouprights.h
+++ b/src/libs/dispatch/grouprights.h
@@ -5,6 +5,7 @@
 
 #include <wire/messages.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -46,6 +47,8 @@
     GroupRights(Base::DaemonId self, Base::FailureDomainId domain, Base::Timers &timers,
                 RightsListener &listener);
 
+    /// Processor of this daemon's host in thousandths of a core. Stronger hosts own more groups.
+    void setCapacity(std::uint32_t cpuMillis) { m_capacity = std::max(1U, cpuMillis); }
     /// \a number is unique among all daemons that ever were; later daemons have higher numbers.
     /// Until it is set, nothing is claimed.
     void setDaemonNumber(std::uint64_t number);
@@ -66,6 +69,8 @@
     void tick();
 
     Wire::DispatchState stateFor(const Base::DaemonId &peer) const;
+    /// Whether \a peer is in another failure domain, as far as is known.
+    bool isRemote(const Base::DaemonId &peer) const;
     std::optional<Base::DaemonId> owner(const GroupId &group) const;
     bool isAlive(const Base::DaemonId &peer) const;
     std::vector<Base::DaemonId> peersToReset();
@@ -83,6 +88,7 @@
         Base::Duration heardAgo{0}; // as of heard: since the peer heard from this daemon
         bool isDraining = false;
         bool isLost = false;
+        std::uint32_t capacity = 1;
         std::uint64_t dropped = 0;       // how often its tasks were dropped here
         std::uint64_t droppedByPeer = 0; // how often it dropped this daemon's
         Base::TimePoint resetTime;
@@ -124,6 +130,7 @@
     Base::Timers &m_timers;
     RightsListener &m_listener;
     const Base::TimePoint m_started;
+    std::uint32_t m_capacity = 1;
     std::uint64_t m_daemonNumber = 0;
     std::uint64_t m_highestRound = 0; // of all claims heard of
     bool m_isDraining = false;
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -55,7 +55,7 @@
 }
 
 // Numbers of members in the order of the variant.
-static constexpr std::size_t MEMBERS[] = {5, 6, 1, 2, 7, 4, 2, 7, 4, 5, 1, 2, 5, 5, 19, 4, 2, 3};
+static constexpr std::size_t MEMBERS[] = {5, 6, 1, 2, 7, 4, 2, 7, 4, 5, 1, 2, 6, 5, 19, 4, 2, 3};
 static_assert(std::size(MEMBERS) == std::variant_size_v<Message>);
 
 class Generator
