Dispatch: ends are pruned once a second, load reports built once

Change: the map is pruned once a second; a report is built once, and only the sequence of the recipient's batches is set for each. Ruled out: shorter memory of ends, which claims after a takeover need.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -193,7 +193,9 @@
     sendState(peer.daemon, ++m_connections[peer.daemon]);
     for (const auto &[id, group] : m_owned) {
         m_peers.send(peer.daemon, membersOf(id, *group));
-        m_peers.send(peer.daemon, group->loadFor(peer.daemon));
+        Wire::GroupLoad load = group->load();
+        load.batchesSeen = group->batchesSeen(peer.daemon);
+        m_peers.send(peer.daemon, load);
     }
     claimTasksAt(peer.daemon);
 }
@@ -400,13 +402,19 @@
 
 void DispatchNode::sendLoad(const ExecutorGroup &group, bool isToNear, bool isToFar)
 {
+    Wire::Message message = group.load();
+    auto &load = std::get<Wire::GroupLoad>(message);
     for (const auto &[peer, connections] : m_connections) {
         const bool isFar = isLarge() && m_rights.isRemote(peer);
-        if ((isFar ? isToFar : isToNear) && m_peers.isConnected(peer))
-            m_peers.send(peer, group.loadFor(peer));
+        if (!(isFar ? isToFar : isToNear) || !m_peers.isConnected(peer))
+            continue;
+        load.batchesSeen = group.batchesSeen(peer);
+        m_peers.send(peer, message);
     }
-    if (isToNear)
-        m_directory.loadReceived(group.loadFor(m_self));
+    if (!isToNear)
+        return;
+    load.batchesSeen = group.batchesSeen(m_self);
+    m_directory.loadReceived(load);
 }
 
 void DispatchNode::sendLoads()
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -977,8 +977,12 @@
     std::erase_if(m_ledgers, [](const auto &it) {
         return !it.second.isRegistered && it.second.runs().empty();
     });
-    std::erase_if(
-        m_ended, [now](const auto &it) { return now - it.second.time > Constants::END_MEMORY_MS; });
+    if (now - m_lastPrune >= Constants::END_PRUNE_MS) {
+        m_lastPrune = now;
+        std::erase_if(m_ended, [now](const auto &it) {
+            return now - it.second.time > Constants::END_MEMORY_MS;
+        });
+    }
     releaseAwaitingLook();
     for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
         const auto task = m_tasks.find(it.task);
@@ -995,14 +999,18 @@
     flushReports();
 }
 
-Wire::GroupLoad ExecutorGroup::loadFor(const Base::DaemonId &recipient) const
+std::uint64_t ExecutorGroup::batchesSeen(const Base::DaemonId &coordinator) const
+{
+    const auto it = m_batchesSeen.find(coordinator);
+    return it == m_batchesSeen.end() ? 0 : it->second;
+}
+
+Wire::GroupLoad ExecutorGroup::load() const
 {
     const Base::TimePoint now = m_timers.now();
     Wire::GroupLoad load;
     load.group = m_group.value();
     load.token = m_token.value();
-    const auto seen = m_batchesSeen.find(recipient);
-    load.batchesSeen = seen == m_batchesSeen.end() ? 0 : seen->second;
     for (const auto &[id, executor] : m_ledgers) {
         if (!executor.isUsable(now))
             continue;
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -70,7 +70,10 @@
     /// The group has another owner: sends no order any more.
     void retire() { m_isFenced = true; }
 
-    Wire::GroupLoad loadFor(const Base::DaemonId &recipient) const;
+    /// Without batchesSeen, which differs by recipient.
+    Wire::GroupLoad load() const;
+    /// Sequence of the last batch from \a coordinator, 0 if there was none.
+    std::uint64_t batchesSeen(const Base::DaemonId &coordinator) const;
     /// Rises with each change of the load.
     std::uint64_t loadVersion() const { return m_loadVersion; }
 
@@ -178,6 +181,7 @@
     TaskQueue m_queue;
     std::set<TaskId> m_awaitingLook;
     std::map<TaskId, EndedTask> m_ended;
+    Base::TimePoint m_lastPrune; // of m_ended
     std::map<Base::DaemonId, std::uint64_t> m_batchesSeen;
     std::map<std::uint32_t, double> m_estimateBias; // by priority, logarithm
     std::map<std::pair<Base::DaemonId, JobId>, Wire::TaskReports> m_reports; // not sent yet
