--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -32,8 +32,8 @@
 constexpr milliseconds BACK_OFF_MS{300};
 /// Ends are remembered for coordinators that ask again after a lost connection.
 constexpr milliseconds END_MEMORY_MS{15000};
-/// Thousands of ends are remembered; passing through them with every tick took a tenth of an owner's
-/// processor time.
+/// Thousands of ends are remembered; passing through them with every tick took a tenth of an
+/// owner's processor time.
 constexpr milliseconds END_PRUNE_MS{1000};
 /// Added to the run number after a refusal as old: an earlier owner may have used more runs.
 constexpr std::uint64_t RUN_NUMBER_STEP = 8;
@@ -47,8 +47,8 @@
 constexpr milliseconds TICK_MS{50};
 /// Least time between two load reports of a group.
 constexpr milliseconds LOAD_REPORT_MS{25};
-/// The same in a large deployment, to daemons of the domain and to others: there are as many reports
-/// as groups times daemons.
+/// The same in a large deployment, to daemons of the domain and to others: there are as many
+/// reports as groups times daemons.
 constexpr milliseconds LARGE_LOAD_REPORT_MS{50};
 constexpr milliseconds REMOTE_LOAD_REPORT_MS{200};
 /// A load report is repeated after this even if nothing has changed.
@@ -72,8 +72,8 @@
 constexpr milliseconds REMOTE_PEER_SILENCE_MS{900};
 /// The same for a peer whose connection broke.
 constexpr milliseconds BROKEN_PEER_SILENCE_MS{200};
-/// A claim that nobody has confirmed has lapsed when its owner has been silent this much longer than
-/// a peer may be.
+/// A claim that nobody has confirmed has lapsed when its owner has been silent this much longer
+/// than a peer may be.
 constexpr milliseconds CLAIM_MARGIN_MS{200};
 /// A daemon that has just started first learns the claims of others.
 constexpr milliseconds CLAIM_START_DELAY_MS{350};
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -391,8 +391,7 @@
                          Base::Duration interval) const
 {
     const Base::TimePoint now = m_timers.now();
-    const bool isChanged =
-        last.version != group.loadVersion() || last.token != group.token();
+    const bool isChanged = last.version != group.loadVersion() || last.token != group.token();
     const Base::Duration age = now - last.time;
     if (age < (isChanged ? interval : Base::Duration(Constants::LOAD_REPEAT_MS)))
         return false;
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -102,9 +102,9 @@
     std::map<GroupId, Base::TimePoint> m_listChanged; // when ids were added or removed
     // As stated by the group's last owner. Its list may be newer than that of this daemon.
     std::map<GroupId, Wire::GroupMembers> m_members;
-    std::map<GroupId, Wire::GroupMembers> m_sentMembers; // of owned groups
-    std::map<GroupId, LoadReport> m_nearReports;         // to the domain; to all if not large
-    std::map<GroupId, LoadReport> m_farReports;          // to other domains, if large
+    std::map<GroupId, Wire::GroupMembers> m_sentMembers;   // of owned groups
+    std::map<GroupId, LoadReport> m_nearReports;           // to the domain; to all if not large
+    std::map<GroupId, LoadReport> m_farReports;            // to other domains, if large
     std::map<Base::DaemonId, std::uint64_t> m_connections; // made to each peer
     std::map<Base::DaemonId, std::pair<Base::Incarnation, std::uint64_t>> m_peerConnections;
     std::map<Base::FailureDomainId, std::size_t> m_groupCounts; // by domain; never fall
--- a/src/libs/dispatch/groupdirectory.cpp
+++ b/src/libs/dispatch/groupdirectory.cpp
@@ -201,9 +201,8 @@
             continue;
         const auto own = added.find(id);
         const double wait =
-            std::chrono::duration<double>(
-                waitIn(group, request.service, request.priority,
-                       own == added.end() ? 0 : own->second))
+            std::chrono::duration<double>(waitIn(group, request.service, request.priority,
+                                                 own == added.end() ? 0 : own->second))
                 .count()
             + (group.domain == m_domain ? 0 : REMOTE_WAIT_S);
         if (!shortest || wait < *shortest) {
--- a/src/libs/dispatch/grouprights.h
+++ b/src/libs/dispatch/grouprights.h
@@ -97,7 +97,7 @@
         std::uint32_t capacity = 1;
         std::uint64_t dropped = 0;       // how often its tasks were dropped here
         std::uint64_t droppedByPeer = 0; // how often it dropped this daemon's
-        Base::TimePoint connected; // or when its connection was reset
+        Base::TimePoint connected;       // or when its connection was reset
     };
 
     struct Claim
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -143,7 +143,8 @@
 /// elsewhere at once.
 void JobCoordinator::placeStep(const JobId &id, Job &job, std::size_t step)
 {
-    for (int i = 0; i < MAX_PLACEMENT_ROUNDS && !placeTasks(id, job, step); ++i) { }
+    for (int i = 0; i < MAX_PLACEMENT_ROUNDS && !placeTasks(id, job, step); ++i) {
+    }
 }
 
 /// Returns false if a group turned out to be unreachable, so that tasks are left to place.
--- a/src/plugins/peerlink/outboundconnection.cpp
+++ b/src/plugins/peerlink/outboundconnection.cpp
@@ -76,8 +76,9 @@
 {
     asio::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    // Small messages fit into the buffer of the socket, so writes go on through a cut. Without a limit
-    // for their acknowledgement the connection stays open and silent for seconds after the cut.
+    // Small messages fit into the buffer of the socket, so writes go on through a cut. Without a
+    // limit for their acknowledgement the connection stays open and silent for seconds after the
+    // cut.
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     m_socket.set_option(UserTimeout(static_cast<int>(m_options.writeLimit.count())), ec);
     if (ec)
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -340,9 +340,9 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// In a large deployment daemons tell only their own claims. A daemon that does not hear the owner of
-// a group claims it, and does not reach an executor on which the owner goes on renewing leases. The
-// owner has to find out, or the task is started a second time.
+// In a large deployment daemons tell only their own claims. A daemon that does not hear the owner
+// of a group claims it, and does not reach an executor on which the owner goes on renewing leases.
+// The owner has to find out, or the task is started a second time.
 BOOST_AUTO_TEST_CASE(ownerThatDoesNotHearOfAClaimIsFencedInTime)
 {
     DispatchCluster cluster;
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -230,7 +230,7 @@
     job.spec.steps.push_back(step);
     job.policy.service = ServiceId("s");
     job.timeLeft = 5s;
-    jobs.submit(job, [](const JobResult &) { });
+    jobs.submit(job, [](const JobResult &) {});
     BOOST_REQUIRE(sender.batches.size() == 1U);
     const auto started = static_cast<std::uint8_t>(Wire::TaskReportState::Started);
     jobs.reportsReceived({"near", 1, "job", {{0, 0, 0, 1, started, "x"}}});
@@ -253,12 +253,12 @@
 class IgnoringListener : public RightsListener
 {
 public:
-    void groupClaimed(const GroupId &, FencingToken) override { }
-    void groupLost(const GroupId &) override { }
-    void groupOwnerChanged(const GroupId &) override { }
-    void peerLost(const Base::DaemonId &) override { }
-    void tasksDropped(const Base::DaemonId &) override { }
-    void probeGroup(const GroupId &) override { }
+    void groupClaimed(const GroupId &, FencingToken) override {}
+    void groupLost(const GroupId &) override {}
+    void groupOwnerChanged(const GroupId &) override {}
+    void peerLost(const Base::DaemonId &) override {}
+    void tasksDropped(const Base::DaemonId &) override {}
+    void probeGroup(const GroupId &) override {}
 };
 
 // After a cut the peer states how long it heard nothing. A connection that is newer than that
