--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -19,7 +19,7 @@
 constexpr milliseconds CONFIRM_MS{400};
 /// For how long after the loss of a peer: longer than the latest claims that follow it.
 constexpr milliseconds CONTESTED_MS{6000};
-/// Longest time for the answer to an order; the adapter gives up then.
+/// An order is answered or given up within this: the limit of the adapter and a margin.
 constexpr milliseconds ORDER_TIMEOUT_MS{250};
 /// Pause between tries to reach an executor that does not answer.
 constexpr milliseconds LOOK_RETRY_MS{100};
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -94,7 +94,7 @@
         std::uint64_t sentSequence = 0; // of the last batch that named it, while AtGroup
         std::uint64_t minRun = 1;
         std::uint32_t failures = 0;
-        std::string executor;    // where its last run was reported since the last batch
+        std::string executor;    // where its run was reported; empty after a claim
         bool needsClaim = false; // AtGroup, and the owner has yet to be asked about it
     };
 
--- a/tests/auto/platform/tst_jobgateway.cpp
+++ b/tests/auto/platform/tst_jobgateway.cpp
@@ -110,6 +110,21 @@
     BOOST_TEST(statuses.back() == 200);
 }
 
+// A caller that reuses an id by mistake must not change the job that runs under it.
+BOOST_AUTO_TEST_CASE(sameIdWithAnotherBodyIsTheSameJob)
+{
+    apply();
+    addExecutor();
+    send("POST", path, body, 1);
+    const std::size_t sent = owners.messages.size();
+    send("POST", path, R"({"spec":"other","phases":[{"count":9,"cpu":1}],"bestEffort":true})", 2);
+    send("POST", path, "{", 3);
+    BOOST_TEST(jobs.jobCount() == 1U);
+    BOOST_TEST(owners.messages.size() == sent);
+    jobs.reportsReceived({"g", 1, "5c0e7a21d94b36f8", {{0, 0, 0, 1, 1, "x"}}});
+    BOOST_TEST(statuses == std::vector<int>({200, 200, 200}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(jobOfALostCallerIsCancelled)
 {
     apply();
