Dispatch: late tasks come last, full groups return tasks, useless jobs are withdrawn

Change: (1) tasks that cannot meet their objective any more go behind the others of their priority. (2) A task that was placed as startable and finds its group full is returned with a fresh load report, at most twice, and placed elsewhere. (3) A job of which no task has started when its result would come too late is taken back from its groups; it is answered with 503 only if all of them confirm that nothing started, else with 504. The queue is scanned without copying its entries.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -137,6 +137,9 @@
 /// A job is not rejected for an expected wait below this share of the time in which its result is
 /// useful.
 constexpr double NEGLIGIBLE_WAIT_SHARE = 0.1;
+/// How often a task may be returned by groups whose load report was out of date. Each return costs
+/// a message to the group and back.
+constexpr std::uint32_t MAX_RETURNS = 2;
 /// Limits for one job.
 constexpr std::uint32_t MAX_STEPS = 256;
 constexpr std::uint32_t MAX_TASKS_PER_JOB = 4000;
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -259,6 +259,12 @@
 void DispatchNode::tasksReported(const Base::DaemonId &coordinator,
                                  const Wire::TaskReports &reports)
 {
+    const bool hasReturns =
+        std::any_of(reports.reports.begin(), reports.reports.end(), [](const auto &it) {
+            return it.state == static_cast<std::uint8_t>(Wire::TaskReportState::Returned);
+        });
+    if (hasReturns)
+        sendLoadBeforeReturns(coordinator, GroupId(reports.group));
     if (coordinator == m_self) {
         post([this, reports] { handleMessage(m_self, reports); });
         return;
@@ -267,6 +273,20 @@
     m_peers.send(coordinator, reports);
 }
 
+/// Returned tasks are placed again at once; without this, in the same group.
+void DispatchNode::sendLoadBeforeReturns(const Base::DaemonId &coordinator, const GroupId &id)
+{
+    const auto group = m_owned.find(id);
+    if (group == m_owned.end())
+        return;
+    Wire::GroupLoad load = group->second->load();
+    load.batchesSeen = group->second->batchesSeen(coordinator);
+    if (coordinator == m_self)
+        m_directory.loadReceived(load);
+    else
+        m_peers.send(coordinator, load);
+}
+
 bool DispatchNode::sendToOwner(const GroupId &group, const Wire::Message &message)
 {
     const auto owner = m_ownership.owner(group);
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -76,6 +76,7 @@
     void sendState(const Base::DaemonId &peer, std::uint64_t connections);
     void sendStates();
     void sendLoads();
+    void sendLoadBeforeReturns(const Base::DaemonId &coordinator, const GroupId &id);
     void sendLoad(const ExecutorGroup &group, bool isForLocal, bool isForRemote);
     bool isDue(LoadReport &last, const ExecutorGroup &group, Base::Duration interval) const;
     void tick();
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -105,6 +105,23 @@
         submitTask(from, batch, it);
     loadChanged();
     placeQueued();
+    if (message.returnsUnplaced)
+        returnUnplaced(*batch, message.tasks);
+}
+
+/// Coordinators place by load reports that are older than many tasks are long, so several may choose
+/// the same free executor. The tasks of all but the first would wait here while other groups have
+/// free resources.
+void ExecutorGroup::returnUnplaced(const BatchInfo &batch,
+                                   const std::vector<Wire::BatchTask> &tasks)
+{
+    for (const Wire::BatchTask &it : tasks) {
+        const TaskId id{JobId(batch.message.job), batch.message.occurrence, batch.message.step,
+                        it.index};
+        const auto task = m_tasks.find(id);
+        if (task != m_tasks.end() && task->second.state == TaskState::Queued)
+            finishTask(id, RunNumber(), TaskReportState::Returned, {});
+    }
 }
 
 void ExecutorGroup::submitTask(const Base::DaemonId &from,
@@ -238,25 +255,26 @@
     // After a pause of this process another daemon may own the group; tick() checks that first.
     if (m_timers.now() - m_lastTick > Constants::PAUSE_MS)
         return;
+    m_queue.demoteLate(m_timers.now());
     // Shapes that did not fit anywhere; a task that needs at least as much does not fit either.
     std::vector<std::pair<ServiceId, Resources>> tooBig;
-    for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
-        const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [&it](const auto &entry) {
-            return entry.first == it.service && entry.second.fits(it.shape);
+    for (const TaskQueue::Entry *it : m_queue.head(MAX_PLACEMENT_SCAN)) {
+        const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [it](const auto &entry) {
+            return entry.first == it->service && entry.second.fits(it->shape);
         });
         if (isTooBig)
             continue;
-        const auto task = m_tasks.find(it.task);
+        const auto task = m_tasks.find(it->task);
         EP_ASSERT(task != m_tasks.end(), continue);
-        ExecutorState *executor = chooseExecutor(it.task, *task->second.batch);
+        ExecutorState *executor = chooseExecutor(it->task, *task->second.batch);
         if (!executor) {
             const Wire::TaskBatch &message = task->second.batch->message;
             if (message.requiredLabel.empty() && message.maxPerExecutor == 0)
-                tooBig.emplace_back(it.service, it.shape);
+                tooBig.emplace_back(it->service, it->shape);
             continue;
         }
-        m_queue.remove(it.task);
-        start(*executor, it.task, task->second);
+        m_queue.remove(task->first);
+        start(*executor, task->first, task->second);
         if (m_isFenced)
             return;
     }
@@ -990,13 +1008,13 @@
         });
     }
     releaseAwaitingListing();
-    for (const TaskQueue::Entry &it : m_queue.head(MAX_PLACEMENT_SCAN)) {
-        const auto task = m_tasks.find(it.task);
+    for (const TaskQueue::Entry *it : m_queue.head(MAX_PLACEMENT_SCAN)) {
+        const auto task = m_tasks.find(it->task);
         EP_ASSERT(task != m_tasks.end(), continue);
         if (now < task->second.batch->deadline)
             continue;
         // Not reported: the coordinator ends the job by itself, and a report could cross a claim.
-        m_queue.remove(it.task);
+        m_queue.remove(task->first);
         m_tasks.erase(task);
         loadChanged();
     }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -132,6 +132,7 @@
                     const TaskId &id, std::uint64_t minRun);
     void enqueue(const TaskId &id, Task &task);
     void placeQueued();
+    void returnUnplaced(const BatchInfo &batch, const std::vector<Wire::BatchTask> &tasks);
     ExecutorState *chooseExecutor(const TaskId &id, const BatchInfo &batch);
     void start(ExecutorState &executor, const TaskId &id, Task &task);
     void startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -88,6 +88,9 @@
     job.callback = std::move(callback);
     job.accepted = now;
     job.objective = now + objective;
+    job.latestStart = now
+                      + std::max(usefulTime - chain,
+                                 scaled(usefulTime, Constants::NEGLIGIBLE_WAIT_SHARE));
     job.deadline = now + request.timeLeft;
     for (const StepSpec &it : request.spec.steps) {
         job.steps.emplace_back(it.count);
@@ -112,6 +115,8 @@
 
 bool JobCoordinator::isReady(const Job &job, std::size_t step) const
 {
+    if (job.isWithdrawn)
+        return false;
     const std::vector<std::uint32_t> &after = job.request.spec.steps[step].after;
     return std::all_of(after.begin(), after.end(),
                        [&job](std::uint32_t it) { return job.remaining[it] == 0; });
@@ -171,14 +176,23 @@
                                                  waiting.begin()
                                                      + static_cast<long>(next + it.count));
         next += it.count;
-        sendBatch(id, job, step, it.group, indices, false);
+        // A task that keeps being returned waits in a group after all.
+        const bool isReturnable =
+            it.startable == it.count
+            && std::all_of(indices.begin(), indices.end(), [&](std::uint32_t index) {
+                   return job.steps[step][index].returns < Constants::MAX_RETURNS;
+               });
+        sendBatch(id, job, step, it.group, indices,
+                  isReturnable ? BatchKind::Immediate : BatchKind::Queued);
     }
     return areAllReachable;
 }
 
 bool JobCoordinator::sendBatch(const JobId &id, Job &job, std::size_t step, const GroupId &group,
-                               const std::vector<std::uint32_t> &indices, bool mayHaveStarted)
+                               const std::vector<std::uint32_t> &indices, BatchKind kind)
 {
+    const bool mayHaveStarted = kind == BatchKind::Claim;
+    job.mayHaveStarted |= mayHaveStarted;
     const Base::TimePoint now = m_timers.now();
     // After a pause of this process the caller may have submitted the job to another daemon.
     if (now >= job.deadline)
@@ -207,6 +221,7 @@
     batch.requiredLabel = spec.requiredLabel;
     batch.rack = spec.preferredRack;
     batch.maxPerExecutor = spec.maxPerExecutor;
+    batch.returnsUnplaced = kind == BatchKind::Immediate;
     for (const std::uint32_t it : indices)
         batch.tasks.push_back(
             {it, job.steps[step][it].minRun, mayHaveStarted, job.steps[step][it].executor});
@@ -252,7 +267,11 @@
         reportReceived(reports, job, it);
     }
     const auto job = m_jobs.find(id);
-    if (job != m_jobs.end())
+    if (job == m_jobs.end())
+        return;
+    if (job->second.isWithdrawn)
+        finishWithdrawn(job);
+    else
         placeWaiting(id, job->second);
 }
 
@@ -281,11 +300,13 @@
     // A report about an earlier run of a task that has since been sent to the same group again.
     if (state != TaskReportState::Returned && report.run < task.minRun)
         return;
+    job.mayHaveStarted |= state != TaskReportState::Returned;
     switch (state) {
     case TaskReportState::Started:
         task.executor = report.executor;
         return;
     case TaskReportState::Returned:
+        ++task.returns;
         task.state = TaskState::Waiting;
         task.executor.clear();
         return;
@@ -369,8 +390,40 @@
     stopTasks(id, job);
 }
 
+/// Takes a job back of which no task has started, and whose result would come too late. Its caller
+/// is told so as soon as all groups have confirmed that nothing was started.
+void JobCoordinator::withdraw(JobMap::iterator it)
+{
+    Base::log(LogLevel::Info, "jobWithdrawn",
+              {{"job", it->first},
+               {"queue", it->second.request.policy.queue},
+               {"elapsed", m_timers.now() - it->second.accepted}});
+    it->second.isWithdrawn = true;
+    stopTasks(it->first, it->second);
+    finishWithdrawn(it);
+}
+
+void JobCoordinator::finishWithdrawn(JobMap::iterator it)
+{
+    const Job &job = it->second;
+    for (const auto &step : job.steps) {
+        if (std::any_of(step.begin(), step.end(),
+                        [](const Task &task) { return task.state == TaskState::AtGroup; })) {
+            return;
+        }
+    }
+    if (job.mayHaveStarted) {
+        finish(it, {JobOutcome::TimedOut, "overloaded", {}});
+        return;
+    }
+    const QueuePolicy &policy = job.request.policy;
+    const auto wait = m_directory.expectedWait(policy.service, policy.priority);
+    finish(it, {JobOutcome::Rejected, "overloaded", wait.value_or(Base::Duration(0))});
+}
+
 void JobCoordinator::claimTasks(const GroupId &group)
 {
+    std::vector<JobId> unknown;
     for (auto &[id, job] : m_jobs) {
         bool hasTasksAtGroup = false;
         for (auto &step : job.steps) {
@@ -379,9 +432,14 @@
                     hasTasksAtGroup = it.needsClaim = true;
             }
         }
-        if (hasTasksAtGroup)
+        // The new owner cannot tell whether the previous one had started a task of the job.
+        if (hasTasksAtGroup && job.isWithdrawn)
+            unknown.push_back(id);
+        else if (hasTasksAtGroup)
             sendClaims(id, job);
     }
+    for (const JobId &it : unknown)
+        finish(m_jobs.find(it), {JobOutcome::TimedOut, "overloaded", {}});
 }
 
 /// A claim that cannot be sent because the owner is unknown or unreachable is retried by tick().
@@ -397,7 +455,7 @@
             }
         }
         for (const auto &[group, list] : indices)
-            sendBatch(id, job, step, group, list, true);
+            sendBatch(id, job, step, group, list, BatchKind::Claim);
     }
 }
 
@@ -411,9 +469,14 @@
 {
     const Base::TimePoint now = m_timers.now();
     std::vector<JobId> expired;
+    std::vector<JobId> useless;
     for (auto &[id, job] : m_jobs) {
         if (now >= job.deadline) {
             expired.push_back(id);
+        } else if (job.isWithdrawn) {
+            continue;
+        } else if (now > job.latestStart && !job.mayHaveStarted) {
+            useless.push_back(id);
         } else {
             sendClaims(id, job);
             placeWaiting(id, job);
@@ -424,6 +487,11 @@
         EP_ASSERT(job != m_jobs.end(), continue);
         finish(job, {JobOutcome::TimedOut, "deadlineExceeded", {}});
     }
+    for (const JobId &it : useless) {
+        const auto job = m_jobs.find(it);
+        EP_ASSERT(job != m_jobs.end(), continue);
+        withdraw(job);
+    }
 }
 
 } // namespace Dispatch
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -87,6 +87,11 @@
 
 private:
     enum class TaskState { Waiting, AtGroup, Done };
+    enum class BatchKind {
+        Queued,    ///< New tasks, which wait at the group if they cannot start at once.
+        Immediate, ///< New tasks that are returned if they cannot start at once.
+        Claim,     ///< Tasks that an owner of the group may have started.
+    };
 
     struct Task
     {
@@ -95,6 +100,7 @@
         std::uint64_t sentSequence = 0; // of the last batch that included it, while AtGroup
         std::uint64_t minRun = 1;
         std::uint32_t failures = 0;
+        std::uint32_t returns = 0; // by groups that could not start it at once
         std::string executor; // on which its run was reported to have started; empty after a claim
         bool needsClaim = false; // AtGroup, and the claim has not been sent to the owner yet
     };
@@ -105,7 +111,10 @@
         Callback callback;
         Base::TimePoint accepted;
         Base::TimePoint objective;
+        Base::TimePoint latestStart; // after which the result would come too late to be of use
         Base::TimePoint deadline;
+        bool mayHaveStarted = false; // some task, at some group
+        bool isWithdrawn = false;    // its tasks are being taken back from the groups
         std::vector<std::vector<Task>> steps;
         std::vector<std::uint32_t> remaining; // by step: number of tasks that are not done
     };
@@ -117,10 +126,12 @@
     void placeStep(const JobId &id, Job &job, std::size_t step);
     bool placeTasks(const JobId &id, Job &job, std::size_t step);
     bool sendBatch(const JobId &id, Job &job, std::size_t step, const GroupId &group,
-                   const std::vector<std::uint32_t> &indices, bool mayHaveStarted);
+                   const std::vector<std::uint32_t> &indices, BatchKind kind);
     void reportReceived(const Wire::TaskReports &reports, JobMap::iterator it,
                         const Wire::TaskReport &report);
     void sendClaims(const JobId &id, Job &job);
+    void withdraw(JobMap::iterator it);
+    void finishWithdrawn(JobMap::iterator it);
     void stopTasks(const JobId &id, const Job &job);
     void finish(JobMap::iterator it, JobResult result);
     static PlacementRequest placementFor(const Job &job, std::size_t step, std::uint32_t count);
--- a/src/libs/dispatch/taskqueue.cpp
+++ b/src/libs/dispatch/taskqueue.cpp
@@ -13,12 +13,32 @@
 void TaskQueue::add(const Entry &entry, Base::TimePoint now)
 {
     remove(entry.task);
-    const Key key{entry.priority, entry.objective <= now, entry.objective, ++m_lastSequence};
-    m_ordered.emplace(key, entry);
-    m_byTask.emplace(entry.task, key);
+    const Base::TimePoint latestStart = entry.objective - entry.estimate;
+    insert({entry.priority, latestStart < now, latestStart, ++m_lastSequence}, entry);
     m_load[{entry.service, entry.priority}] += workOf(entry);
 }
 
+void TaskQueue::insert(const Key &key, const Entry &entry)
+{
+    m_ordered.emplace(key, entry);
+    m_byTask[entry.task] = key;
+}
+
+void TaskQueue::demoteLate(Base::TimePoint now)
+{
+    for (auto it = m_ordered.begin(); it != m_ordered.end();) {
+        const Key key = it->first;
+        if (!key.isLate && key.latestStart < now) {
+            const Entry entry = it->second;
+            it = m_ordered.erase(it);
+            insert({key.priority, true, key.latestStart, key.sequence}, entry);
+            continue;
+        }
+        // All others of this priority are either in time or already behind.
+        it = m_ordered.upper_bound({key.priority, true, Base::TimePoint::max(), UINT64_MAX});
+    }
+}
+
 bool TaskQueue::remove(const TaskId &task)
 {
     const auto it = m_byTask.find(task);
@@ -36,14 +56,14 @@
     return true;
 }
 
-std::vector<TaskQueue::Entry> TaskQueue::head(std::size_t limit) const
+std::vector<const TaskQueue::Entry *> TaskQueue::head(std::size_t limit) const
 {
-    std::vector<Entry> entries;
+    std::vector<const Entry *> entries;
     entries.reserve(std::min(limit, m_ordered.size()));
     for (const auto &[key, entry] : m_ordered) {
         if (entries.size() >= limit)
             break;
-        entries.push_back(entry);
+        entries.push_back(&entry);
     }
     return entries;
 }
--- a/src/libs/dispatch/taskqueue.h
+++ b/src/libs/dispatch/taskqueue.h
@@ -9,9 +9,8 @@
 
 namespace Dispatch {
 
-/// Sorted by the priority of the queue in the desired state, then by the earliest objective. Tasks
-/// whose objective has passed come after all others of their priority, so that under overload
-/// requests that can still meet their objective come first.
+/// Sorted by the priority of the queue in the desired state, then by the latest start with which the
+/// objective can be met. Tasks that cannot meet it any more come after all others of their priority.
 class TaskQueue
 {
 public:
@@ -30,8 +29,13 @@
     bool isEmpty() const { return m_byTask.empty(); }
     std::size_t size() const { return m_byTask.size(); }
 
-    /// The first \a limit tasks in scheduling order.
-    std::vector<Entry> head(std::size_t limit) const;
+    /// The first \a limit tasks in scheduling order, each valid until it is removed.
+    std::vector<const Entry *> head(std::size_t limit) const;
+
+    /// Puts the tasks that would miss their objective even if they started at \a now, by their
+    /// estimates, behind the others of their priority. Under overload, tasks that are served in the
+    /// order of their objectives all become late together.
+    void demoteLate(Base::TimePoint now);
 
     /// Waiting work by service and priority, in thousandths of a core times seconds.
     struct Load
@@ -46,13 +50,15 @@
     struct Key
     {
         std::uint32_t priority = 0;
-        bool isLate = false; // the objective had passed when the task was added
-        Base::TimePoint objective;
+        bool isLate = false;        // latestStart has passed
+        Base::TimePoint latestStart; // at which the objective can still be met
         std::uint64_t sequence = 0;
 
         auto operator<=>(const Key &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
+    void insert(const Key &key, const Entry &entry);
+
     std::map<Key, Entry> m_ordered;
     std::map<TaskId, Key> m_byTask;                               // keys in m_ordered
     std::map<std::pair<ServiceId, std::uint32_t>, double> m_load; // sums over m_ordered
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -244,10 +244,11 @@
     std::string rack;                 // preferred
     std::uint32_t maxPerExecutor = 0; // 0: no limit
     std::vector<BatchTask> tasks;
+    bool returnsUnplaced = false; // tasks that cannot start at once are returned, not queued
 
     MSGPACK_DEFINE(group, sequence, job, occurrence, step, payload, service, priority, cpuMillis,
                    memoryMb, gpus, estimateMs, objectiveMs, deadlineMs, ageMs, requiredLabel, rack,
-                   maxPerExecutor, tasks)
+                   maxPerExecutor, tasks, returnsUnplaced)
 };
 
 enum class TaskReportState : std::uint8_t {
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -59,6 +59,18 @@
     check();
 }
 
+// Two coordinators that place by the same load report choose the same free executors. The tasks of
+// the second one waited there although the other failure domain was idle.
+BOOST_AUTO_TEST_CASE(tasksThatFindTheirGroupFullMoveToAFreeOne)
+{
+    submit("a1", "first", 8); // as many as fit into the failure domain
+    submit("a2", "second", 8);
+    run(100ms); // each task runs for 60 ms
+    BOOST_TEST(count(JobOutcome::Completed) == 2U);
+    BOOST_TEST(executors.startCount == 16U);
+    check();
+}
+
 // Tasks that do not fit wait and are never started beyond the capacity.
 BOOST_AUTO_TEST_CASE(overloadWaitsWithinCapacity)
 {
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -76,16 +76,37 @@
     queue.add(entry("late", 0, 300ms), T0);
     queue.add(entry("soon", 0, 100ms), T0);
     const auto head = queue.head(3);
-    BOOST_TEST(head[0].task.job.value() == "soon");
-    BOOST_TEST(head[1].task.job.value() == "late");
-    BOOST_TEST(head[2].task.job.value() == "low");
+    BOOST_TEST(head[0]->task.job.value() == "soon");
+    BOOST_TEST(head[1]->task.job.value() == "late");
+    BOOST_TEST(head[2]->task.job.value() == "low");
     BOOST_TEST(queue.load().size() == 2U);
-    for (const auto &it : head)
-        BOOST_TEST(queue.remove(it.task));
+    for (const auto *it : head)
+        BOOST_TEST(queue.remove(TaskId(it->task)));
     BOOST_TEST(queue.isEmpty());
     BOOST_TEST(queue.load().empty());
 }
 
+// During a burst all tasks were served in the order of their objectives, each of them just too late,
+// although half of them could have been in time.
+BOOST_AUTO_TEST_CASE(tasksThatCannotBeInTimeComeLast)
+{
+    TaskQueue queue;
+    queue.add(entry("first", 0, 1100ms), T0); // has to start within 100 ms
+    queue.add(entry("second", 0, 1300ms), T0);
+    queue.add(entry("lessUrgent", 1, 1010ms), T0);
+    queue.demoteLate(T0 + 50ms);
+    BOOST_TEST(queue.head(1)[0]->task.job.value() == "first");
+    queue.demoteLate(T0 + 101ms);
+    const auto head = queue.head(3);
+    BOOST_TEST(head[0]->task.job.value() == "second");
+    BOOST_TEST(head[1]->task.job.value() == "first");
+    BOOST_TEST(head[2]->task.job.value() == "lessUrgent");
+    BOOST_TEST(queue.load().size() == 2U);
+    BOOST_TEST(queue.remove({JobId("first"), 0, 0, 0}));
+    BOOST_TEST(queue.remove({JobId("second"), 0, 0, 0}));
+    BOOST_TEST(queue.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(queues)
@@ -210,12 +231,14 @@
             return false;
         if (const auto *batch = std::get_if<Wire::TaskBatch>(&message))
             batches.push_back(*batch);
+        stops += std::holds_alternative<Wire::StopJob>(message) ? 1 : 0;
         return true;
     }
     bool isOwnerReachable(const GroupId &group) const override { return group != unreachable; }
 
     GroupId unreachable;
     std::vector<Wire::TaskBatch> batches;
+    std::size_t stops = 0;
 };
 
 static JobRequest jobOf(std::uint32_t width)
@@ -251,6 +274,74 @@
     BOOST_TEST(sent == 4U);
 }
 
+struct WaitingJob : ::directory::TwoGroups
+{
+    WaitingJob()
+    {
+        directory.loadReceived(::directory::load("near", {16000}));
+        JobRequest request = jobOf(1); // useful for 3 * 60 ms
+        jobs.submit(request, [this](const JobResult &it) { result = it; });
+    }
+    void report(std::uint64_t sequence, Wire::TaskReportState state)
+    {
+        jobs.reportsReceived(
+            {"near", sequence, "job", {{0, 0, 0, 1, static_cast<std::uint8_t>(state), "x"}}});
+    }
+    void waitUntilUseless()
+    {
+        timers.advance(130ms);
+        jobs.tick();
+    }
+
+    TestSupport::ManualTimers timers;
+    RecordingSender sender;
+    JobCoordinator jobs{timers, directory, sender};
+    std::optional<JobResult> result;
+};
+
+// During a burst, jobs waited in the queues until their deadline, long after their result had become
+// useless, and were answered with a time-out although nothing had run.
+BOOST_FIXTURE_TEST_CASE(jobThatWaitedTooLongIsRejected, WaitingJob)
+{
+    timers.advance(100ms);
+    jobs.tick();
+    BOOST_TEST(sender.stops == 0U);
+    waitUntilUseless();
+    BOOST_TEST(sender.stops == 1U);
+    BOOST_TEST(!result.has_value()); // the group may have started the task in the meantime
+    report(1, Wire::TaskReportState::Returned);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->outcome == JobOutcome::Rejected));
+}
+
+BOOST_FIXTURE_TEST_CASE(startedJobIsNotWithdrawn, WaitingJob)
+{
+    report(1, Wire::TaskReportState::Started);
+    waitUntilUseless();
+    BOOST_TEST(sender.stops == 0U);
+    report(1, Wire::TaskReportState::Done);
+    BOOST_TEST((result->outcome == JobOutcome::Completed));
+}
+
+// Guards against a caller that is told that its job has not run, although it has.
+BOOST_FIXTURE_TEST_CASE(withdrawnJobThatHasStartedIsNotRejected, WaitingJob)
+{
+    waitUntilUseless();
+    report(1, Wire::TaskReportState::Started); // crosses the stop
+    BOOST_TEST(!result.has_value());
+    report(1, Wire::TaskReportState::Lost);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->outcome == JobOutcome::TimedOut));
+}
+
+BOOST_FIXTURE_TEST_CASE(withdrawnJobWhoseOwnerIsLostIsNotRejected, WaitingJob)
+{
+    waitUntilUseless();
+    jobs.claimTasks(GroupId("near"));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->outcome == JobOutcome::TimedOut));
+}
+
 // An owner that listed only the executor of the last report started the task a second time: the
 // previous owner had started it elsewhere and failed before it reported that.
 BOOST_FIXTURE_TEST_CASE(executorIsNamedOnlyToTheNextOwner, ::directory::TwoGroups)
