--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -109,9 +109,9 @@
         returnUnplaced(*batch, message.tasks);
 }
 
-/// Coordinators place by load reports that are older than many tasks are long, so several may choose
-/// the same free executor. The tasks of all but the first would wait here while other groups have
-/// free resources.
+/// Coordinators place by load reports that are older than many tasks are long, so several may
+/// choose the same free executor. The tasks of all but the first would wait here while other groups
+/// have free resources.
 void ExecutorGroup::returnUnplaced(const BatchInfo &batch,
                                    const std::vector<Wire::BatchTask> &tasks)
 {
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -88,9 +88,8 @@
     job.callback = std::move(callback);
     job.accepted = now;
     job.objective = now + objective;
-    job.latestStart = now
-                      + std::max(usefulTime - chain,
-                                 scaled(usefulTime, Constants::NEGLIGIBLE_WAIT_SHARE));
+    job.latestStart =
+        now + std::max(usefulTime - chain, scaled(usefulTime, Constants::NEGLIGIBLE_WAIT_SHARE));
     job.deadline = now + request.timeLeft;
     for (const StepSpec &it : request.spec.steps) {
         job.steps.emplace_back(it.count);
--- a/src/libs/dispatch/taskqueue.h
+++ b/src/libs/dispatch/taskqueue.h
@@ -9,8 +9,9 @@
 
 namespace Dispatch {
 
-/// Sorted by the priority of the queue in the desired state, then by the latest start with which the
-/// objective can be met. Tasks that cannot meet it any more come after all others of their priority.
+/// Sorted by the priority of the queue in the desired state, then by the latest start with which
+/// the objective can be met. Tasks that cannot meet it any more come after all others of their
+/// priority.
 class TaskQueue
 {
 public:
@@ -50,7 +51,7 @@
     struct Key
     {
         std::uint32_t priority = 0;
-        bool isLate = false;        // latestStart has passed
+        bool isLate = false;         // latestStart has passed
         Base::TimePoint latestStart; // at which the objective can still be met
         std::uint64_t sequence = 0;
 
--- a/src/libs/storage/tablefollower.h
+++ b/src/libs/storage/tablefollower.h
@@ -59,8 +59,8 @@
     std::map<std::string, TableRow> m_rows;
     /// Versions of the latest removals, by key, for rows that do not exist now.
     std::map<std::string, StoreVersion> m_removedVersions;
-    StoreVersion m_position; // changes up to this version are in m_rows
-    StoreVersion m_newest;   // highest version in any response
+    StoreVersion m_position;                   // changes up to this version are in m_rows
+    StoreVersion m_newest;                     // highest version in any response
     std::optional<Base::TimerId> m_delayTimer; // of awaitChangesAfter()
     bool m_hasSnapshot = false;
     bool m_isUnavailable = false; // the last request failed
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -86,8 +86,8 @@
     BOOST_TEST(queue.load().empty());
 }
 
-// During a burst all tasks were served in the order of their objectives, each of them just too late,
-// although half of them could have been in time.
+// During a burst all tasks were served in the order of their objectives, each of them just too
+// late, although half of them could have been in time.
 BOOST_AUTO_TEST_CASE(tasksThatCannotBeInTimeComeLast)
 {
     TaskQueue queue;
@@ -299,8 +299,8 @@
     std::optional<JobResult> result;
 };
 
-// During a burst, jobs waited in the queues until their deadline, long after their result had become
-// useless, and were answered with a time-out although nothing had run.
+// During a burst, jobs waited in the queues until their deadline, long after their result had
+// become useless, and were answered with a time-out although nothing had run.
 BOOST_FIXTURE_TEST_CASE(jobThatWaitedTooLongIsRejected, WaitingJob)
 {
     timers.advance(100ms);
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -3,6 +3,7 @@
 #include <platform/jobcodec.h>
 #include <platform/platformsettings.h>
 #include <platform/registrations.h>
+#include <platform/textcodec.h>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -134,6 +135,34 @@
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((*decoded == peer));
     BOOST_TEST(!decodeDaemon("edge-1", "{}").has_value());
+    // A port beyond 16 bits led to another one.
+    json row = json::parse(encodeDaemon(peer));
+    row["port"] = 65536 + 7720;
+    BOOST_TEST(!decodeDaemon("edge-1", row.dump()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(textcodec)
+
+BOOST_AUTO_TEST_CASE(base64)
+{
+    for (const char *it : {"", "a", "ab", "abc", "abcd"})
+        BOOST_TEST(decodeBase64(encodeBase64(it)) == it);
+}
+
+// A row whose value was "====" ended the process: its padding is longer than its content.
+BOOST_AUTO_TEST_CASE(malformedBase64IsEmpty)
+{
+    for (const char *it : {"=", "==", "====", "A===", "========", "A", "AB=", "@@@@", "AA=A"})
+        BOOST_TEST(decodeBase64(it).size() <= 2U, it);
+}
+
+// A key with '&' or '%' changed the request for the next page of a table.
+BOOST_AUTO_TEST_CASE(queryIsEscaped)
+{
+    BOOST_TEST(escapeQuery("i-1_a.b") == "i-1_a.b");
+    BOOST_TEST(escapeQuery(std::string("a&b%") + '\x01') == "a%26b%25%01");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -145,7 +174,8 @@
     const Dispatch::TaskId task{Dispatch::JobId(ID), 0, 1, 17};
     BOOST_TEST(encodeTaskName(task) == std::string(ID) + ".0.1.17");
     BOOST_TEST((decodeTaskName(encodeTaskName(task)) == task));
-    for (const char *it : {"", ".", "x", "x.1", "x.1.2", "x.a.b.c", ".0.0.0"})
+    for (const char *it : {"", ".", "x", "x.1", "x.1.2", "x.a.b.c", ".0.0.0", "x.1.2.3.4",
+                           "x.1.2.3x", "x.1.2.3.", "x.1,2.3"})
         BOOST_TEST(!decodeTaskName(it).has_value(), it);
 }
 
@@ -302,6 +332,12 @@
     BOOST_TEST(parsed->store.port == 8169);
     BOOST_TEST(parsed->daemon.peerEndpoint.port == 7720);
     BOOST_TEST((parsed->grace == 6s));
+    BOOST_TEST((parsed->executorDrainTime == 2s)); // the default
+    json document = json::parse(VALID_SETTINGS);
+    document["executorDrainMs"] = 4000;
+    BOOST_TEST((parsePlatformSettings(document.dump(), faults)->executorDrainTime == 4s));
+    document["executorDrainMs"] = 1;
+    BOOST_TEST((parsePlatformSettings(document.dump(), faults)->executorDrainTime == 1s));
 }
 
 // All faults are reported at once, each with its path.
@@ -310,13 +346,15 @@
     json document = json::parse(VALID_SETTINGS);
     document["store"] = "nowhere";
     document["callers"] = "10.1.0.13:0";
+    document["readiness"] = "10.1.0.13:8167x";
+    document["executorDrainMs"] = "soon";
     document["orders"] = "heartbeat";
     document["leaseMs"] = 100;
     document["surplus"] = 1;
     document.erase("daemon");
     Settings::FaultList faults;
     BOOST_TEST(!parsePlatformSettings(document.dump(), faults).has_value());
-    BOOST_TEST(faults.faults().size() == 6U);
+    BOOST_TEST(faults.faults().size() == 8U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
