Dispatch: fewer messages to daemons that own nothing and to small hosts

Change: two daemons of a large deployment that own no group send each other half the state messages. A state message says when the next one follows, and the silence of a peer is measured by that, so that a change of the interval is no loss; a daemon tells a new owner its interval before it sends tasks. Small hosts get the loads of other failure domains every 600 ms (200 ms before); tasks placed by an old report are returned. Claims and the start of a drain are sent to all peers at once, not to remote ones with the next third round. Ruled out: slower states between owners and others: callers submit again 1.3 s after a loss.

--- a/src/app/endivepathd/platformdaemon.cpp
+++ b/src/app/endivepathd/platformdaemon.cpp
@@ -33,8 +33,8 @@
     options.reconnectDelay = std::chrono::milliseconds(100);
     // A packet lost in a network partition is retransmitted after 1 s; reconnecting is faster.
     options.connectTimeout = std::chrono::milliseconds(400);
-    // State messages are sent every 100 ms, or every 300 ms in a large deployment.
-    options.idleTimeout = std::chrono::milliseconds(800);
+    // State messages are sent every 100 ms, or every 600 ms at most in a large deployment.
+    options.idleTimeout = std::chrono::milliseconds(1000);
     options.writeTimeout = std::chrono::milliseconds(1000);
     options.acceptUnlisted = true;
     return options;
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -54,6 +54,9 @@
 /// of reports is that of groups times that of daemons.
 constexpr milliseconds LARGE_LOAD_REPORT_MS{50};
 constexpr milliseconds REMOTE_LOAD_REPORT_MS{200};
+/// The same to small hosts of other failure domains, which have little processor to read reports.
+/// Tasks that are placed by a report that is out of date are returned and placed again.
+constexpr milliseconds SMALL_HOST_LOAD_REPORT_MS{600};
 /// An unchanged load report is sent again after this.
 constexpr milliseconds LOAD_REPEAT_MS{1000};
 
@@ -100,6 +103,12 @@
 constexpr std::size_t MAX_GOSSIP_PEERS = 16;
 /// In a large deployment, one state message in this many also goes to other failure domains.
 constexpr std::uint64_t REMOTE_STATE_EVERY = 3;
+/// The same, in addition, between two daemons that own no group: neither has tasks at the other.
+constexpr std::uint64_t IDLE_STATE_EVERY = 2;
+/// Longer intervals that a peer states are not believed.
+constexpr milliseconds MAX_STATE_INTERVAL_MS{1000};
+/// A peer is lost when this many of its state messages are missing.
+constexpr int MISSED_STATES = 3;
 /// Up to this number, the executors of a failure domain form one group.
 constexpr std::size_t MAX_UNDIVIDED_EXECUTORS = 40;
 /// Larger sets are divided into groups of about this size, so that no host owns more than about 20.
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -181,17 +181,30 @@
     claimTasksAt(from.daemon);
 }
 
-void DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections)
+void DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections,
+                             std::uint64_t interval)
 {
-    Wire::DispatchState state = m_ownership.stateFor(peer);
+    Wire::DispatchState state = m_ownership.stateFor(peer, Constants::HEARTBEAT_MS * interval);
     state.connectionCount = connections;
     m_peers.send(peer, state);
 }
 
+/// Number of rounds of state messages between two to \a peer.
+std::uint64_t DispatchNode::stateInterval(const Base::DaemonId &peer,
+                                          const std::set<Base::DaemonId> &owners) const
+{
+    if (!isLargeDeployment())
+        return 1;
+    const std::uint64_t interval = m_ownership.isRemote(peer) ? Constants::REMOTE_STATE_EVERY : 1;
+    const bool isIdle = m_owned.empty() && !owners.contains(peer);
+    return isIdle ? interval * Constants::IDLE_STATE_EVERY : interval;
+}
+
 void DispatchNode::peerConnected(const Wire::PeerIdentity &peer)
 {
     m_ownership.peerConnected(peer.daemon);
-    sendState(peer.daemon, ++m_connections[peer.daemon]);
+    const std::uint64_t connections = ++m_connections[peer.daemon];
+    sendState(peer.daemon, connections, stateInterval(peer.daemon, m_ownership.owners()));
     for (const auto &[id, group] : m_owned) {
         m_peers.send(peer.daemon, membersOf(id, *group));
         Wire::GroupLoad load = group->load();
@@ -365,7 +378,7 @@
     }
     slot = std::move(group);
     updateGroup(id, added);
-    sendStates();
+    sendStates(true);
 }
 
 void DispatchNode::groupLost(const GroupId &id)
@@ -382,6 +395,11 @@
 
 void DispatchNode::groupOwnerChanged(const GroupId &group)
 {
+    // The owner learns, before it receives tasks, how soon the silence of this daemon means a loss.
+    const auto owner = m_ownership.owner(group);
+    const auto connections = owner ? m_connections.find(*owner) : m_connections.end();
+    if (isLargeDeployment() && connections != m_connections.end())
+        sendState(*owner, connections->second, stateInterval(*owner, {*owner}));
     m_directory.forgetLoad(group);
     m_jobs.claimTasks(group);
 }
@@ -399,14 +417,15 @@
     claimTasksAt(peer);
 }
 
-void DispatchNode::sendStates()
+void DispatchNode::sendStates(bool isForAll)
 {
     m_lastStates = m_timers.now();
-    const bool isForAll =
-        !isLargeDeployment() || m_stateRound++ % Constants::REMOTE_STATE_EVERY == 0;
+    ++m_stateRound;
+    const std::set<Base::DaemonId> owners = m_ownership.owners();
     for (const auto &[peer, connections] : m_connections) {
-        if (m_peers.isConnected(peer) && (isForAll || !m_ownership.isRemote(peer)))
-            sendState(peer, connections);
+        const std::uint64_t interval = stateInterval(peer, owners);
+        if (m_peers.isConnected(peer) && (isForAll || m_stateRound % interval == 0))
+            sendState(peer, connections, interval);
     }
     for (const Base::DaemonId &it : m_ownership.peersToReset())
         m_peers.resetConnection(it);
@@ -425,18 +444,37 @@
     return true;
 }
 
-void DispatchNode::sendLoad(const ExecutorGroup &group, bool isForLocal, bool isForRemote)
+DispatchNode::LoadAudience DispatchNode::audienceOf(const Base::DaemonId &peer) const
+{
+    if (!isLargeDeployment() || !m_ownership.isRemote(peer))
+        return LoadAudience::Local;
+    return m_smallPeers.contains(peer) ? LoadAudience::RemoteSmall : LoadAudience::Remote;
+}
+
+Base::Duration DispatchNode::loadInterval(LoadAudience audience) const
+{
+    switch (audience) {
+    case LoadAudience::Local:
+        break;
+    case LoadAudience::Remote:
+        return Constants::REMOTE_LOAD_REPORT_MS;
+    case LoadAudience::RemoteSmall:
+        return Constants::SMALL_HOST_LOAD_REPORT_MS;
+    }
+    return isLargeDeployment() ? Constants::LARGE_LOAD_REPORT_MS : Constants::LOAD_REPORT_MS;
+}
+
+void DispatchNode::sendLoad(const ExecutorGroup &group, const std::set<LoadAudience> &audiences)
 {
     Wire::Message message = group.load();
     auto &load = std::get<Wire::GroupLoad>(message);
     for (const auto &[peer, connections] : m_connections) {
-        const bool isRemotePeer = isLargeDeployment() && m_ownership.isRemote(peer);
-        if (!(isRemotePeer ? isForRemote : isForLocal) || !m_peers.isConnected(peer))
+        if (!audiences.contains(audienceOf(peer)) || !m_peers.isConnected(peer))
             continue;
         load.batchesSeen = group.batchesSeen(peer);
         m_peers.send(peer, message);
     }
-    if (!isForLocal)
+    if (!audiences.contains(LoadAudience::Local))
         return;
     load.batchesSeen = group.batchesSeen(m_self);
     m_directory.loadReceived(load);
@@ -444,15 +482,17 @@
 
 void DispatchNode::sendLoads()
 {
-    const Base::Duration interval =
-        isLargeDeployment() ? Constants::LARGE_LOAD_REPORT_MS : Constants::LOAD_REPORT_MS;
     for (const auto &[id, group] : m_owned) {
-        const bool isForLocal = isDue(m_localReports[id], *group, interval);
-        const bool isForRemote =
-            isLargeDeployment()
-            && isDue(m_remoteReports[id], *group, Constants::REMOTE_LOAD_REPORT_MS);
-        if (isForLocal || isForRemote)
-            sendLoad(*group, isForLocal, isForRemote);
+        std::set<LoadAudience> audiences;
+        for (const LoadAudience it :
+             {LoadAudience::Local, LoadAudience::Remote, LoadAudience::RemoteSmall}) {
+            if (it != LoadAudience::Local && !isLargeDeployment())
+                continue;
+            if (isDue(m_sentLoads[{id, it}], *group, loadInterval(it)))
+                audiences.insert(it);
+        }
+        if (!audiences.empty())
+            sendLoad(*group, audiences);
     }
 }
 
@@ -470,14 +510,16 @@
     for (const auto &[id, group] : m_owned)
         group->tick();
     m_jobs.tick();
-    if (m_timers.now() - m_lastStates >= Constants::HEARTBEAT_MS - Constants::TICK_MS / 2)
-        sendStates();
+    if (m_timers.now() - m_lastStates >= Constants::HEARTBEAT_MS - Constants::TICK_MS / 2) {
+        m_smallPeers = m_ownership.peersOnSmallHosts();
+        sendStates(false);
+    }
 }
 
 void DispatchNode::beginDrain()
 {
     m_ownership.setDraining();
-    sendStates();
+    sendStates(true);
 }
 
 void DispatchNode::stop()
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -10,6 +10,7 @@
 #include <wire/peerport.h>
 
 #include <memory>
+#include <set>
 
 namespace Dispatch {
 
@@ -73,11 +74,18 @@
     void post(std::function<void()> action);
     void stateReceived(const Wire::PeerIdentity &from, const Wire::DispatchState &state);
     void handleMessage(const Base::DaemonId &from, const Wire::Message &message);
-    void sendState(const Base::DaemonId &peer, std::uint64_t connections);
-    void sendStates();
+    /// Recipients of load reports that get them equally often.
+    enum class LoadAudience { Local, Remote, RemoteSmall };
+
+    void sendState(const Base::DaemonId &peer, std::uint64_t connections, std::uint64_t interval);
+    std::uint64_t stateInterval(const Base::DaemonId &peer,
+                                const std::set<Base::DaemonId> &owners) const;
+    void sendStates(bool isForAll);
+    LoadAudience audienceOf(const Base::DaemonId &peer) const;
+    Base::Duration loadInterval(LoadAudience audience) const;
     void sendLoads();
     void sendLoadBeforeReturns(const Base::DaemonId &coordinator, const GroupId &id);
-    void sendLoad(const ExecutorGroup &group, bool isForLocal, bool isForRemote);
+    void sendLoad(const ExecutorGroup &group, const std::set<LoadAudience> &audiences);
     bool isDue(LoadReport &last, const ExecutorGroup &group, Base::Duration interval) const;
     void tick();
     GroupId groupOf(const ExecutorInfo &executor) const;
@@ -103,10 +111,10 @@
     std::map<GroupId, Base::TimePoint> m_listChanged; // last addition or removal of an id
     // As sent by the group's last owner, whose list may be newer than that of this daemon.
     std::map<GroupId, Wire::GroupMembers> m_members;
-    std::map<GroupId, Wire::GroupMembers> m_sentMembers;   // of owned groups
-    std::map<GroupId, LoadReport> m_localReports;          // to the own domain; to all if not large
-    std::map<GroupId, LoadReport> m_remoteReports;         // to other domains, if large
-    std::map<Base::DaemonId, std::uint64_t> m_connections; // number made to each peer
+    std::map<GroupId, Wire::GroupMembers> m_sentMembers;                // of owned groups
+    std::map<std::pair<GroupId, LoadAudience>, LoadReport> m_sentLoads; // Local: all if not large
+    std::set<Base::DaemonId> m_smallPeers;                              // see GroupOwnership
+    std::map<Base::DaemonId, std::uint64_t> m_connections;              // number made to each peer
     std::map<Base::DaemonId, std::pair<Base::Incarnation, std::uint64_t>> m_peerConnections;
     std::map<Base::FailureDomainId, std::size_t> m_groupCounts; // by domain; never decrease
     std::uint64_t m_stateRound = 0;
--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -67,7 +67,9 @@
     if (isDisconnected(peer))
         return Constants::BROKEN_PEER_SILENCE_MS;
     const bool hasLongInterval = isLargeDeployment() && peer.domain != m_domain;
-    return hasLongInterval ? Constants::REMOTE_PEER_SILENCE_MS : Constants::PEER_SILENCE_MS;
+    return std::max<Base::Duration>(hasLongInterval ? Constants::REMOTE_PEER_SILENCE_MS
+                                                    : Constants::PEER_SILENCE_MS,
+                                    peer.interval * Constants::MISSED_STATES);
 }
 
 void GroupOwnership::messageReceived(const Base::DaemonId &peer, Base::Incarnation incarnation)
@@ -111,6 +113,8 @@
     p.domain = domain;
     p.incarnation = incarnation;
     p.lastHeard = now;
+    p.interval = std::min<Base::Duration>(std::chrono::milliseconds(state.intervalMs),
+                                          Constants::MAX_STATE_INTERVAL_MS);
     p.heardAgo = std::chrono::milliseconds(state.heardAgoMs);
     p.isDraining = state.draining;
     p.capacity = std::max(1U, state.capacity);
@@ -398,7 +402,32 @@
         ++it->second.dropped;
 }
 
-Wire::DispatchState GroupOwnership::stateFor(const Base::DaemonId &peer) const
+std::set<Base::DaemonId> GroupOwnership::owners() const
+{
+    std::set<Base::DaemonId> daemons;
+    for (const auto &[id, group] : m_groups) {
+        if (group.claim)
+            daemons.insert(group.claim->owner);
+    }
+    return daemons;
+}
+
+std::set<Base::DaemonId> GroupOwnership::peersOnSmallHosts() const
+{
+    std::map<Base::FailureDomainId, std::uint32_t> largest;
+    std::set<Base::DaemonId> daemons;
+    for (const auto &[id, peer] : m_peers) {
+        const auto [it, isNew] = largest.try_emplace(peer.domain, 0);
+        if (isNew)
+            it->second = largestCapacity(peer.domain);
+        if (isSmallHost(peer.capacity, it->second))
+            daemons.insert(id);
+    }
+    return daemons;
+}
+
+Wire::DispatchState GroupOwnership::stateFor(const Base::DaemonId &peer,
+                                             Base::Duration interval) const
 {
     const Base::TimePoint now = m_timers.now();
     const auto age = [now](Base::TimePoint time) {
@@ -410,6 +439,7 @@
     const auto it = m_peers.find(peer);
     state.heardAgoMs = it == m_peers.end() ? 0 : age(it->second.lastHeard);
     state.capacity = m_capacity;
+    state.intervalMs = static_cast<std::uint32_t>(Base::toMilliseconds(interval));
     state.dropCount = it == m_peers.end() ? 0 : it->second.dropped;
     // In a large deployment the claims of others are omitted, because their number grows with the
     // square of its size. The previous owner is informed anyway, as it may not hear the new owner.
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Dispatch {
@@ -76,7 +77,12 @@
     /// Detects lost peers and claims groups; called every TICK_MS.
     void tick();
 
-    Wire::DispatchState stateFor(const Base::DaemonId &peer) const;
+    /// State message to \a peer, to which the next one is sent after \a interval.
+    Wire::DispatchState stateFor(const Base::DaemonId &peer, Base::Duration interval) const;
+    /// The daemons that own a group, as far as known.
+    std::set<Base::DaemonId> owners() const;
+    /// The peers on hosts that are small compared with the largest one of their failure domain.
+    std::set<Base::DaemonId> peersOnSmallHosts() const;
     /// Whether \a peer is known to be in another failure domain.
     bool isRemote(const Base::DaemonId &peer) const;
     std::optional<Base::DaemonId> owner(const GroupId &group) const;
@@ -93,6 +99,7 @@
         Base::TimePoint lastHeard;
         Base::TimePoint heardSince;     // start of the current period without a silence
         Base::TimePoint lastDisconnect; // epoch if never
+        Base::Duration interval{0};     // of its state messages to this daemon
         Base::Duration heardAgo{0};     // at lastHeard: since the peer heard from this daemon
         bool isDraining = false;
         bool isLost = false;
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -169,8 +169,9 @@
     std::uint64_t dropCount = 0;       // how often the sender dropped the recipient's tasks as lost
     std::uint32_t capacity = 0;        // processor of the sender's host, thousandths of a core
     std::vector<GroupClaim> claims;
+    std::uint32_t intervalMs = 0; // until the next state message to the recipient
 
-    MSGPACK_DEFINE(draining, heardAgoMs, connectionCount, dropCount, capacity, claims)
+    MSGPACK_DEFINE(draining, heardAgoMs, connectionCount, dropCount, capacity, claims, intervalMs)
 };
 
 /// Free resources of one executor.
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -403,4 +403,32 @@
     BOOST_TEST(ownership.peersToReset().size() == 1U);
 }
 
+// A peer that announces a longer interval between its state messages was considered lost after a
+// limit meant for shorter ones; one that returns to the short interval must not be missed for
+// longer.
+BOOST_AUTO_TEST_CASE(silenceIsMeasuredInTheIntervalsOfThePeer)
+{
+    TestSupport::ManualTimers timers;
+    IgnoringListener listener;
+    const Base::FailureDomainId domain("d");
+    GroupOwnership ownership(Base::DaemonId("a"), domain, timers, listener);
+    const Base::DaemonId peer("b");
+    Wire::DispatchState state;
+    state.intervalMs = 600;
+    timers.advance(10s);
+    ownership.stateReceived(peer, domain, Base::Incarnation(1), state);
+    timers.advance(1700ms);
+    BOOST_TEST(ownership.isAlive(peer));
+    timers.advance(200ms);
+    BOOST_TEST(!ownership.isAlive(peer));
+    state.intervalMs = 100;
+    ownership.stateReceived(peer, domain, Base::Incarnation(1), state);
+    timers.advance(600ms);
+    BOOST_TEST(!ownership.isAlive(peer));
+    state.intervalMs = 4'000'000; // not believed
+    ownership.stateReceived(peer, domain, Base::Incarnation(1), state);
+    timers.advance(4s);
+    BOOST_TEST(!ownership.isAlive(peer));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
