--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -96,7 +96,7 @@
 /// from another one after this uptime.
 constexpr milliseconds HOME_CLAIM_DELAY_MS{1500};
 /// A host with at most this fraction (1/n) of the processor of the largest host of its failure
-/// domain is small: its daemon owns groups and coordinates jobs only if no larger host is up.
+/// domain is small: its daemon owns groups only if no larger host is up.
 constexpr std::uint32_t SMALL_HOST_RATIO = 3;
 /// Above this number of peers, a deployment is large: daemons send only their own claims, and send
 /// load and state to other failure domains less often.
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -182,29 +182,29 @@
 }
 
 void DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections,
-                             std::uint64_t interval)
+                             std::uint64_t rounds)
 {
-    Wire::DispatchState state = m_ownership.stateFor(peer, Constants::HEARTBEAT_MS * interval);
+    Wire::DispatchState state = m_ownership.stateFor(peer, Constants::HEARTBEAT_MS * rounds);
     state.connectionCount = connections;
     m_peers.send(peer, state);
 }
 
-/// Number of rounds of state messages between two to \a peer.
-std::uint64_t DispatchNode::stateInterval(const Base::DaemonId &peer,
-                                          const std::set<Base::DaemonId> &owners) const
+/// A state message is sent to \a peer in every n-th round of them.
+std::uint64_t DispatchNode::roundsBetweenStates(const Base::DaemonId &peer,
+                                                const std::set<Base::DaemonId> &owners) const
 {
     if (!isLargeDeployment())
         return 1;
-    const std::uint64_t interval = m_ownership.isRemote(peer) ? Constants::REMOTE_STATE_EVERY : 1;
+    const std::uint64_t rounds = m_ownership.isRemote(peer) ? Constants::REMOTE_STATE_EVERY : 1;
     const bool isIdle = m_owned.empty() && !owners.contains(peer);
-    return isIdle ? interval * Constants::IDLE_STATE_EVERY : interval;
+    return isIdle ? rounds * Constants::IDLE_STATE_EVERY : rounds;
 }
 
 void DispatchNode::peerConnected(const Wire::PeerIdentity &peer)
 {
     m_ownership.peerConnected(peer.daemon);
     const std::uint64_t connections = ++m_connections[peer.daemon];
-    sendState(peer.daemon, connections, stateInterval(peer.daemon, m_ownership.owners()));
+    sendState(peer.daemon, connections, roundsBetweenStates(peer.daemon, m_ownership.owners()));
     for (const auto &[id, group] : m_owned) {
         m_peers.send(peer.daemon, membersOf(id, *group));
         Wire::GroupLoad load = group->load();
@@ -399,7 +399,7 @@
     const auto owner = m_ownership.owner(group);
     const auto connections = owner ? m_connections.find(*owner) : m_connections.end();
     if (isLargeDeployment() && connections != m_connections.end())
-        sendState(*owner, connections->second, stateInterval(*owner, {*owner}));
+        sendState(*owner, connections->second, roundsBetweenStates(*owner, {*owner}));
     m_directory.forgetLoad(group);
     m_jobs.claimTasks(group);
 }
@@ -423,9 +423,9 @@
     ++m_stateRound;
     const std::set<Base::DaemonId> owners = m_ownership.owners();
     for (const auto &[peer, connections] : m_connections) {
-        const std::uint64_t interval = stateInterval(peer, owners);
-        if (m_peers.isConnected(peer) && (isForAll || m_stateRound % interval == 0))
-            sendState(peer, connections, interval);
+        const std::uint64_t rounds = roundsBetweenStates(peer, owners);
+        if (m_peers.isConnected(peer) && (isForAll || m_stateRound % rounds == 0))
+            sendState(peer, connections, rounds);
     }
     for (const Base::DaemonId &it : m_ownership.peersToReset())
         m_peers.resetConnection(it);
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -74,12 +74,12 @@
     void post(std::function<void()> action);
     void stateReceived(const Wire::PeerIdentity &from, const Wire::DispatchState &state);
     void handleMessage(const Base::DaemonId &from, const Wire::Message &message);
-    /// Recipients of load reports that get them equally often.
+    /// Peers to which load reports are sent equally often.
     enum class LoadAudience { Local, Remote, RemoteSmall };
 
-    void sendState(const Base::DaemonId &peer, std::uint64_t connections, std::uint64_t interval);
-    std::uint64_t stateInterval(const Base::DaemonId &peer,
-                                const std::set<Base::DaemonId> &owners) const;
+    void sendState(const Base::DaemonId &peer, std::uint64_t connections, std::uint64_t rounds);
+    std::uint64_t roundsBetweenStates(const Base::DaemonId &peer,
+                                      const std::set<Base::DaemonId> &owners) const;
     void sendStates(bool isForAll);
     LoadAudience audienceOf(const Base::DaemonId &peer) const;
     Base::Duration loadInterval(LoadAudience audience) const;
