--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -318,7 +318,15 @@
         task.state = TaskState::Waiting;
         task.executor.clear();
         task.minRun = report.run + 1;
-        if (++task.failures >= job.request.policy.maxAttempts) {
+        ++task.failures;
+        Base::log(LogLevel::Info, "taskFailed",
+                  {{"job", it->first},
+                   {"index", report.index},
+                   {"run", report.run},
+                   {"executor", report.executor},
+                   {"failures", task.failures},
+                   {"maxAttempts", job.request.policy.maxAttempts}});
+        if (task.failures >= job.request.policy.maxAttempts) {
             finish(it, {JobOutcome::Failed, "taskFailed", {}});
         }
         return;
@@ -373,6 +381,15 @@
                {"reason", result.reason},
                {"elapsed", m_timers.now() - job.accepted},
                {"objective", job.objective - job.accepted}});
+    // Apart from jobEnded, of which most lines are dropped under load.
+    const Base::Duration usefulTime = scaled(job.objective - job.accepted, Constants::LATE_FACTOR);
+    if (result.outcome == JobOutcome::Completed && m_timers.now() > job.accepted + usefulTime) {
+        Base::log(LogLevel::Info, "jobCompletedTooLate",
+                  {{"job", id},
+                   {"queue", job.request.policy.queue},
+                   {"elapsed", m_timers.now() - job.accepted},
+                   {"useful", usefulTime}});
+    }
     job.callback(result);
 }
 
