Dispatch: log lines and a metric for runs lost with their executor

Cause: runGone named neither why a run was given up nor for how long it had run, and no line told when an executor enters the list of a group's owner or gets tasks again, so the hypotheses about crashed executors could not be told apart.

Change: runGone states its cause; taskLost at the coordinator; executorAdded, executorListed, executorRemoved at the owner; metric endivepath_group_runs_lost_with_executor. No decision depends on it yet.

tst_dispatch passes.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -73,6 +73,8 @@
         ExecutorState *known = findExecutor(it.id);
         if (!known) {
             known = &m_executors.emplace(it.id, ExecutorState(it)).first->second;
+            Base::log(LogLevel::Info, "executorAdded",
+                      {{"executor", it.id}, {"address", it.address}, {"lifetime", it.lifetime}});
         } else {
             if (it.lifetime > known->lifetime())
                 executorRestarted(*known, it.lifetime);
@@ -82,13 +84,22 @@
         if (!known->hasListing && !known->isImmediateHoldPending)
             hold(*known, true);
     }
-    std::erase_if(m_executors, [](const auto &it) {
-        return !it.second.isRegistered && it.second.runs().empty();
-    });
+    removeUnregistered();
     ++m_loadVersion;
     placeQueued();
 }
 
+/// Removes the executors that are not registered any more and whose runs have all ended.
+void ExecutorGroup::removeUnregistered()
+{
+    std::erase_if(m_executors, [](const auto &it) {
+        if (it.second.isRegistered || !it.second.runs().empty())
+            return false;
+        Base::log(LogLevel::Info, "executorRemoved", {{"executor", it.first}});
+        return true;
+    });
+}
+
 void ExecutorGroup::submit(const Base::DaemonId &from, const Wire::TaskBatch &message)
 {
     flushReports();
@@ -412,7 +423,7 @@
     if (result.outcome == OrderOutcome::OtherLifetime)
         executorRestarted(*executor, Lifetime());
     if (result.outcome == OrderOutcome::NotSent) {
-        ++executor->missedAnswers;
+        executor->answerMissed(now);
         executor->nextTry = now;
     }
     if (result.outcome == OrderOutcome::Unhealthy || result.refusal == RefusalReason::NoResources
@@ -535,7 +546,8 @@
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
     case OrderOutcome::Unknown:
-        if (++executor->missedAnswers == 1) {
+        executor->answerMissed(now);
+        if (executor->missedAnswers == 1) {
             Base::log(LogLevel::Warning, "executorSilent",
                       {{"executor", executorId},
                        {"outcome", static_cast<int>(result.order.outcome)},
@@ -551,6 +563,7 @@
     if (executor->missedAnswers > 0 && executor->hasListing)
         Base::log(LogLevel::Info, "executorBack", {{"executor", executorId}});
     executor->missedAnswers = 0;
+    executor->silentSince.reset();
     executor->lastAnswer = now;
     if (result.lifetime.value() > 0 && executor->lifetime().value() > 0
         && result.lifetime != executor->lifetime()) {
@@ -641,7 +654,7 @@
             notStarted.push_back(task);
     }
     for (const TaskId &it : gone)
-        runGone(executor, it);
+        runGone(executor, it, RunLoss::NotListed);
     for (const TaskId &it : notStarted) {
         // The start may still be carried out. After a stop the executor refuses it.
         Run *run = executor.find(it);
@@ -649,6 +662,10 @@
     }
     if (!executor.hasListing) {
         executor.hasListing = true;
+        Base::log(LogLevel::Info, "executorListed",
+                  {{"executor", executor.info().id},
+                   {"lifetime", executor.lifetime()},
+                   {"runs", executor.runs().size()}});
         loadChanged();
     }
 }
@@ -714,14 +731,37 @@
     bias += BIAS_NEWEST_WEIGHT * std::clamp(residual, -1.0, 1.0);
 }
 
-void ExecutorGroup::runGone(ExecutorState &executor, const TaskId &id)
+static const char *causeName(RunLoss cause)
+{
+    switch (cause) {
+    case RunLoss::ExecutorSilent:
+        return "executorSilent";
+    case RunLoss::ExecutorRestarted:
+        return "executorRestarted";
+    case RunLoss::NotRenewed:
+        return "notRenewed";
+    case RunLoss::NotListed:
+        break;
+    }
+    return "notListed";
+}
+
+void ExecutorGroup::runGone(ExecutorState &executor, const TaskId &id, RunLoss cause)
 {
     const Run *run = executor.find(id);
     if (!run)
         return;
     const bool wasClaimed = run->isClaimed;
+    const bool isExecutorLost =
+        cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
     Base::log(LogLevel::Info, "runGone",
-              {{"task", toString(id)}, {"run", run->number}, {"executor", executor.info().id}});
+              {{"task", toString(id)},
+               {"run", run->number},
+               {"executor", executor.info().id},
+               {"cause", causeName(cause)},
+               {"elapsed", m_timers.now() - run->since}});
+    if (isExecutorLost)
+        ++m_counters.lostWithExecutor;
     m_ended[id] = {run->number, RunEnd::LeaseExpired, m_timers.now(), executor.info().id, false};
     executor.runs().erase(id);
     loadChanged();
@@ -737,18 +777,12 @@
                {"runs", executor.runs().size()},
                {"lifetime", lifetime}});
     std::vector<TaskId> lost;
-    for (const auto &[task, run] : executor.runs()) {
-        m_ended[task] = {run.number, RunEnd::LeaseExpired, m_timers.now(), executor.info().id,
-                         false};
-        if (run.isClaimed)
-            lost.push_back(task);
-    }
+    for (const auto &[task, run] : executor.runs())
+        lost.push_back(task);
+    for (const TaskId &it : lost)
+        runGone(executor, it, RunLoss::ExecutorRestarted);
     executor.beginLifetime(lifetime);
     loadChanged();
-    for (const TaskId &it : lost) {
-        ++m_counters.lost;
-        requeue(it, true);
-    }
     executor.nextTry = m_timers.now();
     flushReports();
 }
@@ -962,8 +996,11 @@
         else if (isStraggler(run, now))
             stopStraggler(executor, id, run);
     }
+    // An owner that was paused has not renewed the leases of executors that are well.
+    const bool isSilent =
+        executor.silentSince && now - *executor.silentSince >= Constants::EXECUTOR_LOST_SILENCE_MS;
     for (const TaskId &it : lapsed)
-        runGone(executor, it);
+        runGone(executor, it, isSilent ? RunLoss::ExecutorSilent : RunLoss::NotRenewed);
 }
 
 bool ExecutorGroup::isTokenCheckDue(const ExecutorState &executor) const
@@ -998,9 +1035,7 @@
         if (m_isFenced)
             return;
     }
-    std::erase_if(m_executors, [](const auto &it) {
-        return !it.second.isRegistered && it.second.runs().empty();
-    });
+    removeUnregistered();
     if (now - m_lastPrune >= Constants::END_PRUNE_INTERVAL_MS) {
         m_lastPrune = now;
         std::erase_if(m_ended, [now](const auto &it) {
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -35,10 +35,19 @@
     std::uint64_t done = 0;
     std::uint64_t failed = 0;
     std::uint64_t lost = 0;
+    std::uint64_t lostWithExecutor = 0; // part of lost
     std::uint64_t unresolvedStarts = 0;
     std::uint64_t stragglers = 0;
 };
 
+/// Why a run is given up whose end was not listed.
+enum class RunLoss {
+    ExecutorSilent,    ///< Its lease expired while the executor did not answer.
+    ExecutorRestarted, ///< Another lifetime of the executor answers.
+    NotRenewed,        ///< Its lease expired since this daemon did not renew it.
+    NotListed,         ///< The executor does not list it.
+};
+
 /// Exists from the claim of a group to its loss. A run number is used only once for a task, and a
 /// task has at most one run in the records of a group's executors.
 class ExecutorGroup
@@ -123,6 +132,7 @@
     using ExecutorMap = std::map<ExecutorId, ExecutorState>;
 
     ExecutorState *findExecutor(const ExecutorId &id);
+    void removeUnregistered();
     void submitTask(const Base::DaemonId &from, const std::shared_ptr<const BatchInfo> &batch,
                     const Wire::BatchTask &entry);
     bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
@@ -146,7 +156,7 @@
                       Lifetime lifetime, const HoldResult &result);
     void listingReceived(ExecutorState &executor, std::uint64_t sequence, const HoldResult &result);
     void endReceived(ExecutorState &executor, const ListedEnd &end);
-    void runGone(ExecutorState &executor, const TaskId &id);
+    void runGone(ExecutorState &executor, const TaskId &id, RunLoss cause);
     void executorRestarted(ExecutorState &executor, Lifetime lifetime);
     void updateEstimates(ExecutorState &executor, const TaskId &id, const Run &run, RunEnd end);
     void finishTask(const TaskId &id, RunNumber run, Wire::TaskReportState state,
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -94,6 +94,13 @@
     return true;
 }
 
+void ExecutorState::answerMissed(Base::TimePoint now)
+{
+    ++missedAnswers;
+    if (!silentSince)
+        silentSince = now;
+}
+
 void ExecutorState::backOff(Base::TimePoint until)
 {
     m_unusableUntil = std::max(m_unusableUntil, until);
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -82,7 +82,9 @@
     bool isWaitingHoldPending = false;   // a hold that waits for an end is in flight
     bool isImmediateHoldPending = false; // a hold that does not wait is in flight
     bool hasUnacknowledgedEnds = false;
-    int missedAnswers = 0; // consecutive
+    void answerMissed(Base::TimePoint now);
+    int missedAnswers = 0;                      // consecutive
+    std::optional<Base::TimePoint> silentSince; // first of the missed answers
     Base::TimePoint nextTry;
     Base::TimePoint lastAnswer; // to a hold under the group's token
     EndSequence seenUpTo;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -310,6 +310,11 @@
         task.executor.clear();
         return;
     case TaskReportState::Lost:
+        Base::log(LogLevel::Info, "taskLost",
+                  {{"job", it->first},
+                   {"index", report.index},
+                   {"run", report.run},
+                   {"executor", report.executor}});
         task.state = TaskState::Waiting;
         task.executor.clear();
         task.minRun = report.run + 1;
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -65,6 +65,9 @@
         sum([](const auto &group) { return group.counters().unresolvedStarts; }));
     add("endivepath_group_runs_lost", "Runs that ended without a result.",
         sum([](const auto &group) { return group.counters().lost; }));
+    add("endivepath_group_runs_lost_with_executor",
+        "Runs that ended with the loss of their executor.",
+        sum([](const auto &group) { return group.counters().lostWithExecutor; }));
     add("endivepath_group_runs_failed", "Runs that ended as failed.",
         sum([](const auto &group) { return group.counters().failed; }));
     add("endivepath_group_stragglers", "Runs stopped for taking too long.",
