Tests: a task that crashes its executors is started without a limit (known red)

Cause under test: a run that is lost with its executor counts as no attempt, and nothing is known of it at the next owner or coordinator.

--- a/tests/auto/dispatch/dispatchcluster.h
+++ b/tests/auto/dispatch/dispatchcluster.h
@@ -196,6 +196,16 @@
         }
     }
 
+    /// The same, with the registrations of restarted executors.
+    void runWithRegistrations(Base::Duration duration)
+    {
+        const Base::TimePoint end = clock.now() + duration;
+        while (clock.now() < end && executors.violation.empty()) {
+            run(std::min<Base::Duration>(500ms, end - clock.now()));
+            announceExecutors();
+        }
+    }
+
     void announceExecutors()
     {
         for (const auto &[name, daemon] : daemons)
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -34,6 +34,10 @@
 class FakeExecutors
 {
 public:
+    static constexpr std::size_t BUDGET_CRASHES = 3;
+    static constexpr std::chrono::milliseconds FATAL_RUN_TIME{10};
+    static constexpr std::chrono::milliseconds RESTART_TIME{3000};
+
     explicit FakeExecutors(ManualTimers &clock)
         : m_clock(clock)
     {}
@@ -210,6 +214,8 @@
                 violate("two runs at one time: " + toString(order.task));
         }
         m_running.emplace(run.id, order.task);
+        if (crashedBy[order.task].size() >= BUDGET_CRASHES)
+            ++startsBeyondBudget[order.task];
         started.insert(order.task.job);
         ++startCount;
         executor.runs.emplace(order.task, run);
@@ -223,10 +229,28 @@
                     endRun(it, task, how);
                 }
             });
+        if (isFatal(order))
+            scheduleCrash(executor.info.id, order.task, run.id);
         result.outcome = OrderOutcome::Accepted;
         return result;
     }
 
+    /// Crashes the executor by its run \a runId, and restarts it.
+    void scheduleCrash(const ExecutorId &id, const TaskId &task, std::uint64_t runId)
+    {
+        m_clock.schedule(FATAL_RUN_TIME, [this, id, task, runId] {
+            const auto active = at(id).runs.find(task);
+            if (active == at(id).runs.end() || active->second.id != runId)
+                return;
+            crashedBy[task].insert({id, at(id).info.lifetime});
+            crash(id);
+            m_clock.schedule(RESTART_TIME, [this, id] {
+                if (!at(id).isUp)
+                    restart(id);
+            });
+        });
+    }
+
     OrderResult stop(Executor &executor, const StopOrder &order)
     {
         if (auto refused = checkToken(executor, order.token))
@@ -271,6 +295,12 @@
         chooseRun = [](const StartOrder &, const ExecutorInfo &) {
             return std::pair<Base::Duration, RunEnd>(60ms, RunEnd::Done);
         };
+    /// Whether the task crashes its executor.
+    std::function<bool(const StartOrder &)> isFatal = [](const StartOrder &) { return false; };
+    /// Executors that crashed under each task.
+    std::map<TaskId, std::set<std::pair<ExecutorId, Lifetime>>> crashedBy;
+    /// Starts of each task after BUDGET_CRASHES executors had crashed under it.
+    std::map<TaskId, int> startsBeyondBudget;
     std::set<JobId> started;
     std::uint64_t startCount = 0;
     std::map<RunEnd, std::uint64_t> endCounts;
