Dispatch: count the executors lost under a task, in a record that all daemons share

What callers saw: a task that crashes its executors was started again on one executor after the other until its caller's deadline, each time beside other tasks, which were lost with it.

Cause: a run lost with its executor was reported as Lost, which is no attempt. What a coordinator knows of a task ends with it, and what an owner knows ends with its ownership.

Change: the owner records which tasks ran on an executor that was lost, and tells all daemons; a daemon that connects gets the whole record. A task of the record runs alone, on an empty executor, or on one that is kept free for it, so that a second loss is its own doing. After two losses it is given up and its job is failed, also when it is submitted again elsewhere. A job whose result would come too late is not started again after a loss. A loss needs 300 ms of observed silence, so that an owner that was paused blames no task. A task whose executor is not listed by a new owner is counted as well.

Not covered: resetting the silence after a pause, and running alone for a run that is claimed after the listing.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -73,6 +73,16 @@
 constexpr int EJECT_FAILURES = 3;
 constexpr milliseconds EJECT_MS{2000};
 
+/// A task is given up when this many executors have been lost under it. After the first loss it
+/// runs alone, so the last one is its own doing.
+constexpr std::size_t MAX_EXECUTOR_LOSSES = 2;
+/// Losses are remembered for this long: the longest time that a caller waits for a job.
+constexpr milliseconds LOSS_RETENTION_MS{600'000};
+constexpr milliseconds LOSS_PRUNE_INTERVAL_MS{1000};
+/// Tasks under which executors were lost; beyond this the oldest are forgotten.
+constexpr std::size_t MAX_LOSS_RECORDS = 4096;
+constexpr std::size_t MAX_LOSSES_PER_MESSAGE = 256;
+
 /// Period of state messages between daemons.
 constexpr milliseconds HEARTBEAT_MS{100};
 /// A peer that is silent for this long counts as lost: four heartbeats and a margin.
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -18,7 +18,8 @@
     , m_peers(peers)
     , m_ownership(m_self, domain, timers, *this)
     , m_directory(domain)
-    , m_jobs(timers, m_directory, *this)
+    , m_losses(timers)
+    , m_jobs(timers, m_directory, m_losses, *this)
 {}
 
 DispatchNode::~DispatchNode()
@@ -205,6 +206,8 @@
     m_ownership.peerConnected(peer.daemon);
     const std::uint64_t connections = ++m_connections[peer.daemon];
     sendState(peer.daemon, connections, roundsBetweenStates(peer.daemon, m_ownership.owners()));
+    for (const Wire::LostRuns &it : m_losses.messages())
+        m_peers.send(peer.daemon, it);
     for (const auto &[id, group] : m_owned) {
         m_peers.send(peer.daemon, membersOf(id, *group));
         Wire::GroupLoad load = group->load();
@@ -258,6 +261,8 @@
         const auto it = m_owned.find(GroupId(stop->group));
         if (it != m_owned.end())
             it->second->stopJob(from, JobId(stop->job));
+    } else if (const auto *lost = std::get_if<Wire::LostRuns>(&message)) {
+        m_losses.merge(*lost);
     }
 }
 
@@ -323,6 +328,19 @@
     post([this, group, wasAccepted] { m_ownership.fenced(group, wasAccepted); });
 }
 
+/// All daemons are told, since any of them may own a group or coordinate the job next.
+void DispatchNode::executorLost(const ExecutorId &executor, Lifetime lifetime,
+                                const std::vector<TaskId> &tasks)
+{
+    Base::log(Base::LogLevel::Warning, "executorLost",
+              {{"executor", executor}, {"lifetime", lifetime}, {"tasks", tasks.size()}});
+    const Wire::Message message = m_losses.add(executor, lifetime, tasks);
+    for (const auto &[peer, connections] : m_connections) {
+        if (m_peers.isConnected(peer))
+            m_peers.send(peer, message);
+    }
+}
+
 /// Probes with the lowest token, which executors answer without changing their state.
 void DispatchNode::probeGroup(const GroupId &group)
 {
@@ -367,7 +385,7 @@
     // that the previous owner knew.
     if (m_owned.empty())
         m_listChanged[id] = m_timers.now();
-    auto group = std::make_unique<ExecutorGroup>(id, token, m_timers, m_port,
+    auto group = std::make_unique<ExecutorGroup>(id, token, m_timers, m_port, m_losses,
                                                  static_cast<GroupListener &>(*this));
     ExecutorGroup &added = *group;
     auto &slot = m_owned[id];
@@ -509,6 +527,7 @@
     m_ownership.tick();
     for (const auto &[id, group] : m_owned)
         group->tick();
+    m_losses.tick();
     m_jobs.tick();
     if (m_timers.now() - m_lastStates >= Constants::HEARTBEAT_MS - Constants::TICK_MS / 2) {
         m_smallPeers = m_ownership.peersOnSmallHosts();
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -42,6 +42,7 @@
     void beginDrain();
 
     JobCoordinator &jobs() { return m_jobs; }
+    const ExecutorLosses &losses() const { return m_losses; }
     const std::map<GroupId, std::unique_ptr<ExecutorGroup>> &ownedGroups() const { return m_owned; }
     /// Whether at least one group with executors has an owner.
     bool canServe() const;
@@ -54,6 +55,8 @@
     void tasksReported(const Base::DaemonId &coordinator,
                        const Wire::TaskReports &reports) override;
     void groupFenced(const GroupId &group, bool wasAccepted) override;
+    void executorLost(const ExecutorId &executor, Lifetime lifetime,
+                      const std::vector<TaskId> &tasks) override;
     void groupClaimed(const GroupId &group, FencingToken token) override;
     void groupLost(const GroupId &group) override;
     void groupOwnerChanged(const GroupId &group) override;
@@ -103,6 +106,7 @@
     Wire::PeerPort &m_peers;
     GroupOwnership m_ownership;
     GroupDirectory m_directory;
+    ExecutorLosses m_losses;
     JobCoordinator m_jobs;
     std::map<GroupId, std::unique_ptr<ExecutorGroup>> m_owned;
     // Groups that were lost during a call of their own methods; destroyed from the event loop.
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -26,11 +26,13 @@
 static constexpr double OTHER_RACK_SPEED = 0.5;
 
 ExecutorGroup::ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers,
-                             ExecutorPort &port, GroupListener &listener)
+                             ExecutorPort &port, const ExecutorLosses &losses,
+                             GroupListener &listener)
     : m_group(std::move(group))
     , m_token(token)
     , m_timers(timers)
     , m_port(port)
+    , m_losses(losses)
     , m_listener(listener)
     , m_claimed(timers.now())
     , m_lastTick(timers.now())
@@ -236,6 +238,7 @@
             continue;
         EP_ASSERT(!run->isClaimed, return false);
         run->isClaimed = true;
+        run->isAlone = m_losses.isSuspect(id);
         run->shape = task.batch->shape;
         Task &added = m_tasks.emplace(id, task).first->second;
         added.state = TaskState::OnExecutor;
@@ -267,20 +270,28 @@
     if (m_timers.now() - m_lastTick > Constants::PAUSE_MS)
         return;
     m_queue.demoteLate(m_timers.now());
+    checkReservation();
     // Shapes that did not fit anywhere; a task that needs at least as much does not fit either.
     std::vector<std::pair<ServiceId, Resources>> tooBig;
     for (const TaskQueue::Entry *it : m_queue.head(MAX_PLACEMENT_SCAN)) {
+        const auto task = m_tasks.find(it->task);
+        EP_ASSERT(task != m_tasks.end(), continue);
+        if (m_losses.isGivenUp(it->task)) {
+            finishTask(TaskId(it->task), RunNumber(task->second.nextRun - 1),
+                       TaskReportState::GivenUp, {});
+            continue;
+        }
+        const bool isSuspect = m_losses.isSuspect(it->task);
         const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [it](const auto &entry) {
             return entry.first == it->service && entry.second.fits(it->shape);
         });
-        if (isTooBig)
+        if (isTooBig && !isSuspect)
             continue;
-        const auto task = m_tasks.find(it->task);
-        EP_ASSERT(task != m_tasks.end(), continue);
-        ExecutorState *executor = chooseExecutor(it->task, *task->second.batch);
+        ExecutorState *executor = isSuspect ? chooseEmptyExecutor(it->task, *task->second.batch)
+                                            : chooseExecutor(it->task, *task->second.batch);
         if (!executor) {
             const Wire::TaskBatch &message = task->second.batch->message;
-            if (message.requiredLabel.empty() && message.maxPerExecutor == 0)
+            if (!isSuspect && message.requiredLabel.empty() && message.maxPerExecutor == 0)
                 tooBig.emplace_back(it->service, it->shape);
             continue;
         }
@@ -291,17 +302,26 @@
     }
 }
 
+static double speedFor(const ExecutorState &executor, const Wire::TaskBatch &batch)
+{
+    const bool isOtherRack = !batch.rack.empty() && executor.info().rack != batch.rack;
+    return executor.speed() * (isOtherRack ? OTHER_RACK_SPEED : 1);
+}
+
+bool ExecutorGroup::isEligible(const ExecutorState &executor, const BatchInfo &batch) const
+{
+    const ExecutorInfo &info = executor.info();
+    return executor.isUsable(m_timers.now()) && info.service.value() == batch.message.service
+           && (batch.message.requiredLabel.empty() || info.kind == batch.message.requiredLabel);
+}
+
 ExecutorState *ExecutorGroup::chooseExecutor(const TaskId &id, const BatchInfo &batch)
 {
-    const Base::TimePoint now = m_timers.now();
     ExecutorState *best = nullptr;
     double bestSpeed = 0;
     std::uint32_t bestRemaining = 0;
     for (auto &[executorId, executor] : m_executors) {
-        const ExecutorInfo &info = executor.info();
-        if (!executor.isUsable(now) || info.service.value() != batch.message.service)
-            continue;
-        if (!batch.message.requiredLabel.empty() && info.kind != batch.message.requiredLabel)
+        if (!isEligible(executor, batch))
             continue;
         const Resources room = executor.freeResources();
         if (!batch.shape.fits(room))
@@ -310,9 +330,7 @@
             && executor.runsOfStep(id) >= batch.message.maxPerExecutor) {
             continue;
         }
-        double speed = executor.speed();
-        if (!batch.message.rack.empty() && info.rack != batch.message.rack)
-            speed *= OTHER_RACK_SPEED;
+        const double speed = speedFor(executor, batch.message);
         const std::uint32_t remaining = room.cpuMillis - batch.shape.cpuMillis;
         const bool isFaster = speed > bestSpeed * SPEED_TOLERANCE;
         const bool isFuller = speed * SPEED_TOLERANCE >= bestSpeed && remaining < bestRemaining;
@@ -325,6 +343,70 @@
     return best;
 }
 
+/// A task that may have crashed an executor runs alone: it takes no other tasks with it, and if it
+/// loses the next executor too, no other task can have been the cause.
+ExecutorState *ExecutorGroup::chooseEmptyExecutor(const TaskId &id, const BatchInfo &batch)
+{
+    ExecutorState *best = nullptr;
+    for (auto &[executorId, executor] : m_executors) {
+        const bool isForOther = executor.isReserved && m_reservation->task != id;
+        if (!isEligible(executor, batch) || !executor.runs().empty() || isForOther
+            || !batch.shape.fits(executor.info().capacity)) {
+            continue;
+        }
+        if (!best || speedFor(executor, batch.message) > speedFor(*best, batch.message))
+            best = &executor;
+    }
+    if (!best && !m_reservation)
+        reserveExecutor(id, batch);
+    return best;
+}
+
+/// Reserves the executor whose runs are expected to end first. Without this, other tasks would fill
+/// each place that becomes free.
+void ExecutorGroup::reserveExecutor(const TaskId &id, const BatchInfo &batch)
+{
+    ExecutorState *best = nullptr;
+    Base::TimePoint bestEnd;
+    for (auto &[executorId, executor] : m_executors) {
+        if (!isEligible(executor, batch) || !batch.shape.fits(executor.info().capacity))
+            continue;
+        Base::TimePoint end;
+        for (const auto &[task, run] : executor.runs())
+            end = std::max(end, run.since + run.expected);
+        if (!best || end < bestEnd) {
+            best = &executor;
+            bestEnd = end;
+        }
+    }
+    if (!best)
+        return;
+    best->isReserved = true;
+    m_reservation = {id, best->info().id};
+    loadChanged();
+}
+
+void ExecutorGroup::releaseReservation()
+{
+    if (!m_reservation)
+        return;
+    if (ExecutorState *executor = findExecutor(m_reservation->executor))
+        executor->isReserved = false;
+    m_reservation.reset();
+    loadChanged();
+}
+
+void ExecutorGroup::checkReservation()
+{
+    if (!m_reservation)
+        return;
+    const auto task = m_tasks.find(m_reservation->task);
+    const ExecutorState *executor = findExecutor(m_reservation->executor);
+    const bool isNeeded = task != m_tasks.end() && task->second.state == TaskState::Queued;
+    if (!isNeeded || !executor || !executor->isUsable(m_timers.now()))
+        releaseReservation();
+}
+
 double ExecutorGroup::estimateLogMs(const BatchInfo &batch) const
 {
     const auto it = m_estimateBias.find(batch.message.priority);
@@ -341,6 +423,7 @@
     Run run;
     run.number = number;
     run.shape = task.batch->shape;
+    run.isAlone = m_losses.isSuspect(id);
     run.since = now;
     const double expectedMs = std::exp(estimateLogMs(*task.batch)) / executor.speed();
     run.expected = std::chrono::microseconds(static_cast<std::int64_t>(expectedMs * 1000));
@@ -632,6 +715,7 @@
         const auto task = m_tasks.find(it.task);
         if (task != m_tasks.end() && task->second.state != TaskState::OnExecutor) {
             found.isClaimed = true;
+            found.isAlone = m_losses.isSuspect(it.task);
             found.shape = task->second.batch->shape;
             m_queue.remove(it.task);
             m_awaitingListing.erase(it.task);
@@ -752,16 +836,12 @@
     if (!run)
         return;
     const bool wasClaimed = run->isClaimed;
-    const bool isExecutorLost =
-        cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
     Base::log(LogLevel::Info, "runGone",
               {{"task", toString(id)},
                {"run", run->number},
                {"executor", executor.info().id},
                {"cause", causeName(cause)},
                {"elapsed", m_timers.now() - run->since}});
-    if (isExecutorLost)
-        ++m_counters.lostWithExecutor;
     m_ended[id] = {run->number, RunEnd::LeaseExpired, m_timers.now(), executor.info().id, false};
     executor.runs().erase(id);
     loadChanged();
@@ -770,6 +850,20 @@
         requeue(id, true);
 }
 
+void ExecutorGroup::runsGone(ExecutorState &executor, const std::vector<TaskId> &tasks,
+                             RunLoss cause)
+{
+    const bool isExecutorLost =
+        cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
+    if (isExecutorLost && !tasks.empty()) {
+        m_counters.lostWithExecutor += tasks.size();
+        // Before the reports, so that coordinators know of the loss when they decide on the task.
+        m_listener.executorLost(executor.info().id, executor.lifetime(), tasks);
+    }
+    for (const TaskId &it : tasks)
+        runGone(executor, it, cause);
+}
+
 void ExecutorGroup::executorRestarted(ExecutorState &executor, Lifetime lifetime)
 {
     Base::log(LogLevel::Warning, "executorRestarted",
@@ -779,8 +873,7 @@
     std::vector<TaskId> lost;
     for (const auto &[task, run] : executor.runs())
         lost.push_back(task);
-    for (const TaskId &it : lost)
-        runGone(executor, it, RunLoss::ExecutorRestarted);
+    runsGone(executor, lost, RunLoss::ExecutorRestarted);
     executor.beginLifetime(lifetime);
     loadChanged();
     executor.nextTry = m_timers.now();
@@ -937,6 +1030,13 @@
         }
         if (ended != m_ended.end())
             task.nextRun = std::max(task.nextRun, ended->second.run.value() + 1);
+        const ExecutorState *executor = findExecutor(task.executor);
+        const bool isExecutorLost =
+            !task.executor.isEmpty() && (!executor || !executor->hasListing);
+        if (isExecutorLost) {
+            const Lifetime lifetime = executor ? executor->lifetime() : Lifetime();
+            m_listener.executorLost(task.executor, lifetime, {it});
+        }
         enqueue(it, task);
     }
 }
@@ -999,8 +1099,7 @@
     // An owner that was paused has not renewed the leases of executors that are well.
     const bool isSilent =
         executor.silentSince && now - *executor.silentSince >= Constants::EXECUTOR_LOST_SILENCE_MS;
-    for (const TaskId &it : lapsed)
-        runGone(executor, it, isSilent ? RunLoss::ExecutorSilent : RunLoss::NotRenewed);
+    runsGone(executor, lapsed, isSilent ? RunLoss::ExecutorSilent : RunLoss::NotRenewed);
 }
 
 bool ExecutorGroup::isTokenCheckDue(const ExecutorState &executor) const
@@ -1018,8 +1117,12 @@
     if (now - std::exchange(m_lastTick, now) > Constants::PAUSE_MS) {
         Base::log(LogLevel::Warning, "ownerPaused", {{"group", m_group}, {"token", m_token}});
         // An executor that restarted in the meantime has lost the higher token of another owner.
-        for (auto &[id, executor] : m_executors)
+        for (auto &[id, executor] : m_executors) {
             executor.hasListing = false;
+            // Answers that arrived during the pause have not been read yet.
+            if (executor.silentSince)
+                executor.silentSince = now;
+        }
     }
     const bool hasRuns = m_contestedUntil > now && runCount() > 0;
     for (auto &[id, executor] : m_executors) {
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -3,6 +3,7 @@
 // enough free resources.
 #pragma once
 
+#include "executorlosses.h"
 #include "executorport.h"
 #include "executorstate.h"
 #include "taskqueue.h"
@@ -26,6 +27,9 @@
     /// An executor has seen a higher token, so the group must not be used any more. \a wasAccepted:
     /// an earlier order under the group's token was accepted.
     virtual void groupFenced(const GroupId &group, bool wasAccepted) = 0;
+    /// A lifetime of an executor ended while it ran \a tasks; one of them may have crashed it.
+    virtual void executorLost(const ExecutorId &executor, Lifetime lifetime,
+                              const std::vector<TaskId> &tasks) = 0;
 };
 
 /// Counters of one group since its claim.
@@ -40,7 +44,7 @@
     std::uint64_t stragglers = 0;
 };
 
-/// Why a run is given up whose end was not listed.
+/// Why a run is no longer tracked whose end was not listed.
 enum class RunLoss {
     ExecutorSilent,    ///< Its lease expired while the executor did not answer.
     ExecutorRestarted, ///< Another lifetime of the executor answers.
@@ -54,7 +58,7 @@
 {
 public:
     ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers, ExecutorPort &port,
-                  GroupListener &listener);
+                  const ExecutorLosses &losses, GroupListener &listener);
     ~ExecutorGroup();
 
     const GroupId &id() const { return m_group; }
@@ -143,7 +147,12 @@
     void enqueue(const TaskId &id, Task &task);
     void placeQueued();
     void returnUnplaced(const BatchInfo &batch, const std::vector<Wire::BatchTask> &tasks);
+    bool isEligible(const ExecutorState &executor, const BatchInfo &batch) const;
     ExecutorState *chooseExecutor(const TaskId &id, const BatchInfo &batch);
+    ExecutorState *chooseEmptyExecutor(const TaskId &id, const BatchInfo &batch);
+    void reserveExecutor(const TaskId &id, const BatchInfo &batch);
+    void releaseReservation();
+    void checkReservation();
     void start(ExecutorState &executor, const TaskId &id, Task &task);
     void startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
                        const OrderResult &result);
@@ -157,6 +166,7 @@
     void listingReceived(ExecutorState &executor, std::uint64_t sequence, const HoldResult &result);
     void endReceived(ExecutorState &executor, const ListedEnd &end);
     void runGone(ExecutorState &executor, const TaskId &id, RunLoss cause);
+    void runsGone(ExecutorState &executor, const std::vector<TaskId> &tasks, RunLoss cause);
     void executorRestarted(ExecutorState &executor, Lifetime lifetime);
     void updateEstimates(ExecutorState &executor, const TaskId &id, const Run &run, RunEnd end);
     void finishTask(const TaskId &id, RunNumber run, Wire::TaskReportState state,
@@ -180,6 +190,7 @@
     const FencingToken m_token;
     Base::Timers &m_timers;
     ExecutorPort &m_port;
+    const ExecutorLosses &m_losses;
     GroupListener &m_listener;
     const Base::TimePoint m_claimed;
     // Set to false by the destructor: answers to orders that arrive later are ignored.
@@ -191,6 +202,13 @@
     Base::TimePoint m_listChanged;  // when an executor was last added or removed
     std::map<TaskId, Task> m_tasks; // Queued ones are in m_queue, OnExecutor ones in m_executors
     TaskQueue m_queue;
+    /// An executor that gets no tasks until it is empty, for a queued task that has to run alone.
+    struct Reservation
+    {
+        TaskId task;
+        ExecutorId executor;
+    };
+    std::optional<Reservation> m_reservation;
     std::set<TaskId> m_awaitingListing;
     std::map<TaskId, EndedTask> m_ended;
     Base::TimePoint m_lastPrune; // of m_ended
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -56,11 +56,11 @@
 
 Resources ExecutorState::freeResources() const
 {
-    if (!hasListing)
+    if (!hasListing || isReserved)
         return {};
     Resources used;
     for (const auto &[task, run] : m_runs) {
-        if (!run.isClaimed)
+        if (!run.isClaimed || run.isAlone)
             return {};
         used += run.shape;
     }
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -25,6 +25,7 @@
     bool isClaimed = true;    // false: found in a listing, and no coordinator has claimed it yet
     bool isConfirmed = false; // accepted or listed; until then the start may be carried out late
     bool isStopAccepted = false;
+    bool isAlone = false;  // no other run may start on the executor
     Base::TimePoint since; // start sent, or first listed
     Base::TimePoint stopSent;
     Base::Duration expected{0}; // run time, from the estimate and the executor's speed
@@ -61,7 +62,8 @@
     std::map<TaskId, Run> &runs() { return m_runs; }
     const std::map<TaskId, Run> &runs() const { return m_runs; }
     Run *find(const TaskId &task);
-    /// Resources that are certainly free. None while a run of unknown shape is there.
+    /// Resources that are certainly free. None while a run of unknown shape is there, or one that
+    /// has to be alone.
     Resources freeResources() const;
     /// Number of runs of the step that \a task belongs to.
     std::uint32_t runsOfStep(const TaskId &task) const;
@@ -79,6 +81,7 @@
     /// may be started.
     bool hasListing = false;
     bool isRegistered = true;
+    bool isReserved = false;             // gets no tasks but the one that it is reserved for
     bool isWaitingHoldPending = false;   // a hold that waits for an end is in flight
     bool isImmediateHoldPending = false; // a hold that does not wait is in flight
     bool hasUnacknowledgedEnds = false;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -18,9 +18,11 @@
 /// Consecutive attempts to place a step, each without the groups found to be unreachable.
 static constexpr int MAX_PLACEMENT_ROUNDS = 4;
 
-JobCoordinator::JobCoordinator(Base::Timers &timers, GroupDirectory &directory, GroupSender &sender)
+JobCoordinator::JobCoordinator(Base::Timers &timers, GroupDirectory &directory,
+                               const ExecutorLosses &losses, GroupSender &sender)
     : m_timers(timers)
     , m_directory(directory)
+    , m_losses(losses)
     , m_sender(sender)
 {}
 
@@ -49,6 +51,13 @@
 void JobCoordinator::submit(JobRequest request, Callback callback)
 {
     const JobId id = request.spec.id;
+    if (m_losses.hasGivenUpTask(id)) {
+        ++m_counters.failed;
+        Base::log(LogLevel::Info, "jobKnownAsFailed",
+                  {{"job", id}, {"queue", request.policy.queue}, {"reason", "executorsLost"}});
+        callback({JobOutcome::Failed, "executorsLost", {}});
+        return;
+    }
     const Base::TimePoint now = m_timers.now();
     const Base::Duration chain = longestChain(request.spec);
     const QueuePolicy &policy = request.policy;
@@ -88,6 +97,7 @@
     job.callback = std::move(callback);
     job.accepted = now;
     job.objective = now + objective;
+    job.usefulUntil = now + usefulTime;
     job.latestStart =
         now + std::max(usefulTime - chain, scaled(usefulTime, Constants::NEGLIGIBLE_WAIT_SHARE));
     job.deadline = now + request.timeLeft;
@@ -175,11 +185,14 @@
                                                  waiting.begin()
                                                      + static_cast<long>(next + it.count));
         next += it.count;
-        // A task that keeps being returned waits in a group after all.
+        // A task that keeps being returned waits in a group after all, as does one that needs an
+        // empty executor, of which the load does not tell.
+        const auto step32 = static_cast<std::uint32_t>(step);
         const bool isReturnable =
             it.startable == it.count
             && std::all_of(indices.begin(), indices.end(), [&](std::uint32_t index) {
-                   return job.steps[step][index].returns < Constants::MAX_RETURNS;
+                   return job.steps[step][index].returns < Constants::MAX_RETURNS
+                          && !m_losses.isSuspect({id, 0, step32, index});
                });
         sendBatch(id, job, step, it.group, indices,
                   isReturnable ? BatchKind::Immediate : BatchKind::Queued);
@@ -297,7 +310,9 @@
                {"state", static_cast<int>(report.state)},
                {"minRun", task.minRun}});
     // A report about an earlier run of a task that has since been sent to the same group again.
-    if (state != TaskReportState::Returned && report.run < task.minRun)
+    const bool isWithoutRun =
+        state == TaskReportState::Returned || state == TaskReportState::GivenUp;
+    if (!isWithoutRun && report.run < task.minRun)
         return;
     job.mayHaveStarted |= state != TaskReportState::Returned;
     switch (state) {
@@ -310,14 +325,13 @@
         task.executor.clear();
         return;
     case TaskReportState::Lost:
-        Base::log(LogLevel::Info, "taskLost",
-                  {{"job", it->first},
-                   {"index", report.index},
-                   {"run", report.run},
-                   {"executor", report.executor}});
         task.state = TaskState::Waiting;
         task.executor.clear();
         task.minRun = report.run + 1;
+        taskLost(it, report);
+        return;
+    case TaskReportState::GivenUp:
+        finish(it, {JobOutcome::Failed, "executorsLost", {}});
         return;
     case TaskReportState::Failed:
         task.state = TaskState::Waiting;
@@ -346,6 +360,28 @@
     }
 }
 
+/// Ends the job if the task must not or need not be started again: it has lost too many executors,
+/// or it may have crashed one and its result would come too late to be of use.
+void JobCoordinator::taskLost(JobMap::iterator it, const Wire::TaskReport &report)
+{
+    const Job &job = it->second;
+    const TaskId task{it->first, report.occurrence, report.step, report.index};
+    const std::size_t losses = m_losses.count(task);
+    Base::log(LogLevel::Info, "taskLost",
+              {{"job", it->first},
+               {"index", report.index},
+               {"run", report.run},
+               {"executor", report.executor},
+               {"executorsLost", losses}});
+    if (m_losses.isGivenUp(task)) {
+        finish(it, {JobOutcome::Failed, "executorsLost", {}});
+        return;
+    }
+    const Base::Duration estimate = job.request.spec.steps[report.step].estimate;
+    if (losses > 0 && m_timers.now() + estimate > job.usefulUntil)
+        finish(it, {JobOutcome::TimedOut, "executorLost", {}});
+}
+
 void JobCoordinator::stopTasks(const JobId &id, const Job &job)
 {
     std::set<GroupId> groups;
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -1,6 +1,7 @@
 // Coordinates the jobs that were submitted to this daemon.
 #pragma once
 
+#include "executorlosses.h"
 #include "groupdirectory.h"
 
 #include <functional>
@@ -12,7 +13,7 @@
 
 enum class JobOutcome {
     Completed, ///< All tasks are done.
-    Failed,    ///< A task used up the attempts that its queue allows.
+    Failed,    ///< A task used up the attempts that its queue allows, or crashes its executors.
     Rejected,  ///< No task was started, and none will be.
     TimedOut,  ///< There was no result in time; tasks may have been started.
 };
@@ -60,7 +61,8 @@
 public:
     using Callback = std::function<void(const JobResult &)>;
 
-    JobCoordinator(Base::Timers &timers, GroupDirectory &directory, GroupSender &sender);
+    JobCoordinator(Base::Timers &timers, GroupDirectory &directory, const ExecutorLosses &losses,
+                   GroupSender &sender);
     ~JobCoordinator();
 
     /// Calls \a callback once with the result, possibly before this function returns. A job that
@@ -111,6 +113,7 @@
         Callback callback;
         Base::TimePoint accepted;
         Base::TimePoint objective;
+        Base::TimePoint usefulUntil; // a later result is of no use to the caller
         Base::TimePoint latestStart; // after which the result would come too late to be of use
         Base::TimePoint deadline;
         bool mayHaveStarted = false; // some task, at some group
@@ -129,6 +132,7 @@
                    const std::vector<std::uint32_t> &indices, BatchKind kind);
     void reportReceived(const Wire::TaskReports &reports, JobMap::iterator it,
                         const Wire::TaskReport &report);
+    void taskLost(JobMap::iterator it, const Wire::TaskReport &report);
     void sendClaims(const JobId &id, Job &job);
     void withdraw(JobMap::iterator it);
     void finishWithdrawn(JobMap::iterator it);
@@ -138,6 +142,7 @@
 
     Base::Timers &m_timers;
     GroupDirectory &m_directory;
+    const ExecutorLosses &m_losses;
     GroupSender &m_sender;
     JobMap m_jobs;
     std::map<GroupId, std::uint64_t> m_sequences; // last batch sent to each group
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -258,6 +258,7 @@
     Failed = 2,   // the run ended as failed, which counts as an attempt
     Lost = 3,     // the run ended or was stopped without a result
     Returned = 4, // the task was never started by this owner and never will be
+    GivenUp = 5,  // too many executors were lost under the task; it is not started any more
 };
 
 struct TaskReport
@@ -317,10 +318,32 @@
     MSGPACK_DEFINE(group, token, members)
 };
 
+/// A run that was lost together with its executor.
+struct LostRun
+{
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::string executor;
+    std::uint64_t lifetime = 0; // of the executor; 0 if unknown
+    std::uint64_t ageMs = 0;    // time since the loss
+
+    MSGPACK_DEFINE(job, occurrence, step, index, executor, lifetime, ageMs)
+};
+
+/// Runs that the sender knows to have been lost with their executors.
+struct LostRuns
+{
+    std::vector<LostRun> runs;
+
+    MSGPACK_DEFINE(runs)
+};
+
 /// The index of an alternative is its type number on the wire: append only.
 using Message =
     std::variant<Hello, Heartbeat, LeaseRequest, LeasePromise, Replicate, ReplicateAck, HandOver,
                  Forward, ForwardReply, SlotLoan, ManifestFetch, ManifestBody, DispatchState,
-                 GroupLoad, TaskBatch, TaskReports, StopJob, GroupMembers>;
+                 GroupLoad, TaskBatch, TaskReports, StopJob, GroupMembers, LostRuns>;
 
 } // namespace Wire
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -45,6 +45,8 @@
         [this] { return m_node->jobs().counters().timedOut; });
     add("endivepath_jobs_abandoned", "Jobs cancelled by their caller or because it disconnected.",
         [this] { return m_node->jobs().counters().cancelled; });
+    add("endivepath_suspect_tasks", "Tasks under which executors were lost.",
+        [this] { return m_node->losses().taskCount(); });
     const auto sum = [this](auto member) {
         return [this, member] {
             double n = 0;
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -217,6 +217,7 @@
         if (crashedBy[order.task].size() >= BUDGET_CRASHES)
             ++startsBeyondBudget[order.task];
         started.insert(order.task.job);
+        ++startsOf[order.task.job];
         ++startCount;
         executor.runs.emplace(order.task, run);
         const auto [duration, end] = chooseRun(order, executor.info);
@@ -302,6 +303,7 @@
     /// Starts of each task after BUDGET_CRASHES executors had crashed under it.
     std::map<TaskId, int> startsBeyondBudget;
     std::set<JobId> started;
+    std::map<JobId, int> startsOf;
     std::uint64_t startCount = 0;
     std::map<RunEnd, std::uint64_t> endCounts;
     std::string violation;
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -264,7 +264,8 @@
     TestSupport::ManualTimers timers;
     RecordingSender sender;
     sender.unreachable = GroupId("near");
-    JobCoordinator jobs(timers, directory, sender);
+    ExecutorLosses losses(timers);
+    JobCoordinator jobs(timers, directory, losses, sender);
     jobs.submit(jobOf(4), [](const JobResult &) {});
     std::size_t sent = 0;
     for (const Wire::TaskBatch &it : sender.batches) {
@@ -295,7 +296,8 @@
 
     TestSupport::ManualTimers timers;
     RecordingSender sender;
-    JobCoordinator jobs{timers, directory, sender};
+    ExecutorLosses losses{timers};
+    JobCoordinator jobs{timers, directory, losses, sender};
     std::optional<JobResult> result;
 };
 
@@ -342,6 +344,29 @@
     BOOST_TEST((result->outcome == JobOutcome::TimedOut));
 }
 
+// The owner tells of the losses before it reports the run, so the coordinator need not ask again.
+BOOST_FIXTURE_TEST_CASE(jobEndsWithTheLastLossThatIsAllowed, WaitingJob)
+{
+    report(1, Wire::TaskReportState::Started);
+    for (std::size_t i = 0; i < Constants::MAX_EXECUTOR_LOSSES; ++i)
+        losses.add(ExecutorId("x"), Lifetime(i + 1), {{JobId("job"), 0, 0, 0}});
+    report(1, Wire::TaskReportState::Lost);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->outcome == JobOutcome::Failed));
+    BOOST_TEST(sender.batches.size() == 1U);
+}
+
+// A task that needs an empty executor was returned by each group that had a free place only.
+BOOST_FIXTURE_TEST_CASE(suspectWaitsInItsGroup, WaitingJob)
+{
+    BOOST_TEST(sender.batches.back().returnsUnplaced);
+    report(1, Wire::TaskReportState::Started);
+    losses.add(ExecutorId("x"), Lifetime(1), {{JobId("job"), 0, 0, 0}});
+    report(1, Wire::TaskReportState::Lost);
+    BOOST_REQUIRE(sender.batches.size() == 2U);
+    BOOST_TEST(!sender.batches.back().returnsUnplaced);
+}
+
 // An owner that listed only the executor of the last report started the task a second time: the
 // previous owner had started it elsewhere and failed before it reported that.
 BOOST_FIXTURE_TEST_CASE(executorIsNamedOnlyToTheNextOwner, ::directory::TwoGroups)
@@ -349,7 +374,8 @@
     directory.loadReceived(::directory::load("near", {16000}));
     TestSupport::ManualTimers timers;
     RecordingSender sender;
-    JobCoordinator jobs(timers, directory, sender);
+    ExecutorLosses losses(timers);
+    JobCoordinator jobs(timers, directory, losses, sender);
     jobs.submit(jobOf(1), [](const JobResult &) {});
     BOOST_REQUIRE(sender.batches.size() == 1U);
     const auto started = static_cast<std::uint8_t>(Wire::TaskReportState::Started);
--- a/tests/auto/platform/tst_jobgateway.cpp
+++ b/tests/auto/platform/tst_jobgateway.cpp
@@ -64,7 +64,8 @@
     TestSupport::ManualTimers timers;
     Dispatch::GroupDirectory directory{Base::FailureDomainId("g")};
     RecordingGroupSender sender;
-    Dispatch::JobCoordinator jobs{timers, directory, sender};
+    Dispatch::ExecutorLosses losses{timers};
+    Dispatch::JobCoordinator jobs{timers, directory, losses, sender};
     Dispatch::QueueTable queues;
     JobGateway gateway{jobs, queues};
     std::vector<int> statuses;
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -55,8 +55,8 @@
 }
 
 // Number of members of each message, in the order of the variant.
-static constexpr std::size_t MEMBER_COUNTS[] = {5, 6, 1, 2, 7, 4,  2, 7, 4,
-                                                5, 1, 2, 7, 5, 20, 4, 2, 3};
+static constexpr std::size_t MEMBER_COUNTS[] = {5, 6, 1, 2, 7,  4, 2, 7, 4, 5,
+                                                1, 2, 7, 5, 20, 4, 2, 3, 1};
 static_assert(std::size(MEMBER_COUNTS) == std::variant_size_v<Message>);
 
 class Generator
@@ -106,6 +106,7 @@
     void set(BatchTask &value) { setMembers<4>(value); }
     void set(TaskReport &value) { setMembers<6>(value); }
     void set(GroupMember &value) { setMembers<4>(value); }
+    void set(LostRun &value) { setMembers<7>(value); }
     template<std::size_t N, class T>
     void setMembers(T &value)
     {
@@ -147,6 +148,10 @@
 {
     return fields<6>(a) == fields<6>(b);
 }
+static bool operator==(const LostRun &a, const LostRun &b)
+{
+    return fields<7>(a) == fields<7>(b);
+}
 } // namespace Wire
 
 template<std::size_t I = 0>
