Dispatch: an executor that was replaced at its address is not asked with every tick

Cause: an executor that crashed comes back under another id at the same address. Its old id stays registered for three periods, each hold is answered by another lifetime, and was repeated with the next tick. The registration still names the lifetime that has ended, which was above the unknown one (0), and so counted as one more restart.

Change: the last lifetime that is known to have ended is remembered. Answers of another lifetime after that are not logged, and the next hold follows after 500 ms. A registration with a later lifetime is used at once, as before.

Ruled out: that such executors stay unused; the new id is listed 3.2 to 3.9 s after the crash, of which 3.0 to 3.4 s are the restart.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -25,6 +25,9 @@
 constexpr milliseconds ORDER_TIMEOUT_MS{250};
 /// Pause between holds of an executor that does not answer.
 constexpr milliseconds HOLD_RETRY_MS{100};
+/// The same for an executor at whose address another lifetime answers; a registration tells of its
+/// next one.
+constexpr milliseconds ENDED_EXECUTOR_RETRY_MS{500};
 /// An executor whose lease expires counts as lost if it has not answered for at least this long.
 /// Shorter than a lease less the time after which a missing answer is noticed.
 constexpr milliseconds EXECUTOR_LOST_SILENCE_MS{300};
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -78,7 +78,7 @@
             Base::log(LogLevel::Info, "executorAdded",
                       {{"executor", it.id}, {"address", it.address}, {"lifetime", it.lifetime}});
         } else {
-            if (it.lifetime > known->lifetime())
+            if (it.lifetime > known->lifetime() && it.lifetime > known->endedLifetime())
                 executorRestarted(*known, it.lifetime);
             known->setInfo(it);
         }
@@ -864,8 +864,13 @@
         runGone(executor, it, cause);
 }
 
+/// \a lifetime is that of the executor now; 0 if only the end of the previous one is known.
 void ExecutorGroup::executorRestarted(ExecutorState &executor, Lifetime lifetime)
 {
+    if (lifetime.value() == 0 && executor.hasEnded()) {
+        executor.nextTry = m_timers.now() + Constants::ENDED_EXECUTOR_RETRY_MS;
+        return;
+    }
     Base::log(LogLevel::Warning, "executorRestarted",
               {{"executor", executor.info().id},
                {"runs", executor.runs().size()},
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -15,7 +15,10 @@
 
 void ExecutorState::beginLifetime(Lifetime lifetime)
 {
+    // Until the registration is renewed, it names the lifetime that has ended.
+    m_endedLifetime = std::max({m_endedLifetime, m_lifetime, m_info.lifetime});
     m_lifetime = lifetime;
+    m_hasEnded = lifetime.value() == 0;
     m_clock.reset();
     m_runs.clear();
     seenUpTo = EndSequence();
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -42,11 +42,20 @@
     const ExecutorInfo &info() const { return m_info; }
     void setInfo(const ExecutorInfo &info) { m_info = info; }
 
-    /// Discards everything that is known about the earlier lifetime.
+    /// Discards everything that is known about the earlier lifetime. \a lifetime is 0 if the next
+    /// one is not known.
     void beginLifetime(Lifetime lifetime);
+    /// The last lifetime that is known to have ended.
+    Lifetime endedLifetime() const { return m_endedLifetime; }
+    /// The recorded lifetime has ended, and no other is known yet.
+    bool hasEnded() const { return m_hasEnded; }
     Lifetime lifetime() const { return m_lifetime; }
     /// Sets the lifetime to which the recorded state belongs, once it is known.
-    void setLifetime(Lifetime lifetime) { m_lifetime = lifetime; }
+    void setLifetime(Lifetime lifetime)
+    {
+        m_lifetime = lifetime;
+        m_hasEnded = false;
+    }
 
     // Clock and lease.
     void updateClock(ExecutorTime clock, Base::TimePoint now);
@@ -95,6 +104,8 @@
 private:
     ExecutorInfo m_info;
     Lifetime m_lifetime;
+    Lifetime m_endedLifetime;
+    bool m_hasEnded = false;
     std::optional<ExecutorTime> m_clock; // as of m_clockUpdated
     Base::TimePoint m_clockUpdated;
     Base::TimePoint m_leaseEnd;
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -304,3 +304,70 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(endedLifetime)
+
+/// Answers every hold as another lifetime of the executor.
+class OtherLifetimePort : public ExecutorPort
+{
+public:
+    explicit OtherLifetimePort(ManualTimers &timers)
+        : m_timers(timers)
+    {}
+    void startTask(const ExecutorInfo &, const StartOrder &, OrderCallback) override {}
+    void stopTask(const ExecutorInfo &, const StopOrder &, OrderCallback) override {}
+    void hold(const ExecutorInfo &, const HoldOrder &, HoldCallback callback) override
+    {
+        ++holds;
+        m_timers.schedule(1ms, [callback] {
+            HoldResult result;
+            result.order.outcome = OrderOutcome::OtherLifetime;
+            callback(result);
+        });
+    }
+
+    int holds = 0;
+
+private:
+    ManualTimers &m_timers;
+};
+
+class IgnoringGroupListener : public GroupListener
+{
+public:
+    void tasksReported(const Base::DaemonId &, const Wire::TaskReports &) override {}
+    void groupFenced(const GroupId &, bool) override {}
+    void executorLost(const ExecutorId &, Lifetime, const std::vector<TaskId> &) override {}
+};
+
+// An executor that has been replaced at its address was asked for its runs 20 times a second, as
+// long as its registration lasted, which was taken for another restart each time.
+BOOST_AUTO_TEST_CASE(replacedExecutorIsNotAskedWithEveryTick)
+{
+    ManualTimers timers;
+    timers.advance(1s);
+    OtherLifetimePort port(timers);
+    ExecutorLosses losses(timers);
+    IgnoringGroupListener listener;
+    ExecutorGroup group(GroupId("g"), FencingToken(1), timers, port, losses, listener);
+    ExecutorInfo info;
+    info.id = ExecutorId("x");
+    info.service = ServiceId("service");
+    info.capacity = {16000, 65536, 0};
+    info.lifetime = Lifetime(1000);
+    for (int i = 0; i < 60; ++i) {
+        if (i % 10 == 0)
+            group.setExecutors({info}, timers.now());
+        timers.advance(50ms);
+        group.tick();
+    }
+    BOOST_TEST(port.holds >= 3);
+    BOOST_TEST(port.holds <= 15);
+    timers.advance(10ms);
+    const int before = port.holds;
+    info.lifetime = Lifetime(2000);
+    group.setExecutors({info}, timers.now());
+    BOOST_TEST(port.holds == before + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
