Dispatch: runs on an executor that does not answer are not stopped as stragglers

Cause: the check looks at the age of a run only.

Change: runs are checked only while their executor answers. A run whose executor is silent ends with its lease.

Evidence: runsOnASilentExecutorAreNoStragglers failed before (1 straggler).

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -1098,7 +1098,7 @@
             lapsed.push_back(id);
         else if (isStopDue(run, now))
             stopRun(executor, id, run);
-        else if (isStraggler(run, now))
+        else if (executor.missedAnswers == 0 && isStraggler(run, now))
             stopStraggler(executor, id, run);
     }
     // An owner that was paused has not renewed the leases of executors that are well.
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -229,6 +229,19 @@
     check();
 }
 
+// Runs on a crashed executor were taken for slow ones until their lease was over.
+BOOST_AUTO_TEST_CASE(runsOnASilentExecutorAreNoStragglers)
+{
+    submit("c1", "fatal", 1, {6800, 64, 0}, 60ms, 60s);
+    runWithRegistrations(2s);
+    BOOST_TEST(crashCount() == 1U);
+    for (const char *group : {"a", "b"}) {
+        const auto &owned = node(owners(group).front()).ownedGroups();
+        BOOST_TEST(owned.at(GroupId(group))->counters().stragglers == 0U);
+    }
+    check();
+}
+
 // A job whose result would come too late is not worth another executor.
 BOOST_AUTO_TEST_CASE(uselessJobIsNotStartedAgainAfterALoss)
 {
