--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -62,6 +62,8 @@
         std::uint64_t lastEnd = 0;
         Base::Duration clockOffset{0};
         std::vector<std::pair<EndSequence, std::function<void()>>> waitingHolds;
+        // By daemon: ends its waiting hold without an answer.
+        std::map<std::string, std::function<void()>> breakHold;
     };
 
     void add(const ExecutorInfo &info)
@@ -91,6 +93,10 @@
         for (const auto &[task, run] : executor.runs)
             m_running.erase(run.id);
         executor.runs.clear();
+        for (const auto &[daemon, breakHold] : std::exchange(executor.breakHold, {})) {
+            if (isCrashNoticed)
+                m_clock.schedule(1ms, breakHold);
+        }
     }
 
     /// Restarts the executor under the same id, with its state lost.
@@ -296,6 +302,8 @@
         chooseRun = [](const StartOrder &, const ExecutorInfo &) {
             return std::pair<Base::Duration, RunEnd>(60ms, RunEnd::Done);
         };
+    /// Connections break when an executor crashes. Otherwise its silence shows that.
+    bool isCrashNoticed = false;
     /// Whether the task crashes its executor.
     std::function<bool(const StartOrder &)> isFatal = [](const StartOrder &) { return false; };
     /// Executors that crashed under each task.
@@ -372,6 +380,11 @@
                                  respond();
                          };
                          it.waitingHolds.emplace_back(order.seenUpTo, once);
+                         it.breakHold[m_daemon] = [this, answer] {
+                             if (m_timers)
+                                 m_timers->schedule(Base::Duration(0),
+                                                    [answer] { (*answer)(HoldResult()); });
+                         };
                          m_executors.m_clock.schedule(order.wait, once);
                      });
     }
