Dispatch tests: starts fit into a capacity that changes

A new capacity enters with the registration, and free resources are what it leaves beside all runs, those that are being stopped included. Open: an owner that cannot read the store does not learn of it.

--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -37,6 +37,7 @@
     static constexpr std::size_t BUDGET_CRASHES = 3;
     static constexpr std::chrono::milliseconds FATAL_RUN_TIME{10};
     static constexpr std::chrono::milliseconds RESTART_TIME{3000};
+    static constexpr std::chrono::milliseconds RESIZE_GRACE{1000};
 
     explicit FakeExecutors(ManualTimers &clock)
         : m_clock(clock)
@@ -54,6 +55,7 @@
     {
         ExecutorInfo info;
         bool isUp = true;
+        Resources limit; // runs that start must not exceed it
         FencingToken token;
         Base::TimePoint leaseEnd;
         std::map<TaskId, ActiveRun> runs;
@@ -70,6 +72,7 @@
     {
         Executor executor;
         executor.info = info;
+        executor.limit = info.capacity;
         executor.clockOffset = std::chrono::milliseconds(1000 * (m_executors.size() + 1));
         m_executors.emplace(info.id, executor);
     }
@@ -108,9 +111,25 @@
         executor = {};
         executor.info = info;
         executor.info.lifetime = info.lifetime.next();
+        executor.limit = info.capacity;
         executor.clockOffset = std::chrono::milliseconds(7);
     }
 
+    /// Changes the capacity. Starts may exceed a smaller one for RESIZE_GRACE.
+    void resize(const ExecutorId &id, const Resources &capacity)
+    {
+        Executor &executor = at(id);
+        executor.info.capacity = capacity;
+        if (executor.limit.fits(capacity)) {
+            executor.limit = capacity;
+            return;
+        }
+        m_clock.schedule(RESIZE_GRACE, [this, id, capacity] {
+            if (at(id).info.capacity == capacity)
+                at(id).limit = capacity;
+        });
+    }
+
     bool isReachable(const std::string &daemon, const ExecutorId &id) const
     {
         return m_executors.at(id).isUp && !partitioned.contains({daemon, id});
@@ -208,7 +227,7 @@
         Resources used = run.shape;
         for (const auto &[task, other] : executor.runs)
             used += other.shape;
-        if (!used.fits(executor.info.capacity)) {
+        if (!used.fits(executor.limit)) {
             std::string what =
                 "over capacity: " + executor.info.id.value() + " " + toString(order.task);
             for (const auto &[task, other] : executor.runs)
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -263,6 +263,39 @@
     check();
 }
 
+// An executor that shrinks while it runs tasks gets no more than it has room for, also if it is
+// over its capacity at first, and all of its room is used when it has grown again.
+BOOST_AUTO_TEST_CASE(startsFitIntoACapacityThatChanges)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(100ms, RunEnd::Done);
+    };
+    const Resources full{16000, 65536, 0};
+    const Resources sizes[] = {{7000, 65536, 0}, full, {0, 65536, 0}, full, {16000, 100, 0}, full};
+    std::size_t submitted = 0;
+    for (int i = 0; i < 300; ++i) {
+        if (i % 25 == 0) {
+            for (const char *it : {"a-x0", "a-x1", "b-x0"})
+                executors.resize(ExecutorId(it), sizes[i / 25 % std::size(sizes)]);
+        }
+        if (i % 5 == 0)
+            announceExecutors();
+        submit(i % 2 == 0 ? "a1" : "b2", "job" + std::to_string(++submitted), 3, {6800, 64, 0},
+               100ms, 20s);
+        run(50ms);
+    }
+    run(2s);
+    BOOST_TEST(executors.startCount >= submitted);
+    check();
+    announceExecutors();
+    run(200ms);
+    submit("a1", "wide", 16, {6800, 64, 0}, 100ms, 5s);
+    const std::uint64_t before = executors.startCount;
+    run(50ms);
+    BOOST_TEST(executors.startCount == before + 16);
+    check();
+}
+
 // The tasks of a job are stopped when its caller cancels it.
 BOOST_AUTO_TEST_CASE(cancelledJobIsStopped)
 {
