Dispatch tests: random schedules with tasks that crash their executors

The schedules have the faults of randomSchedules, jobs of 30 s with one task that crashes its executor, and callers that submit them again when they lose their coordinator.

--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -20,9 +20,18 @@
 class Schedule
 {
 public:
-    explicit Schedule(std::uint64_t seed)
+    enum class Tasks { Harmless, SomeFatal };
+
+    explicit Schedule(std::uint64_t seed, Tasks tasks = Tasks::Harmless)
         : m_random(seed)
+        , m_hasFatalTasks(tasks == Tasks::SomeFatal)
     {
+        if (m_hasFatalTasks) {
+            m_cluster.executors.isCrashNoticed = true;
+            m_cluster.executors.isFatal = [](const StartOrder &order) {
+                return isFatalJob(order.task.job.value()) && order.task.index == 0;
+            };
+        }
         m_cluster.addDaemon("a1", "a");
         m_cluster.addDaemon("a2", "a");
         m_cluster.addDaemon("b1", "b");
@@ -58,6 +67,8 @@
                 performCallerAction();
             resubmitDue(step);
             m_cluster.run(20ms);
+            if (m_hasFatalTasks && step % 25 == 0)
+                m_cluster.announceExecutors();
         }
         for (Fault &it : m_faults) {
             if (it.end)
@@ -65,7 +76,11 @@
         }
         m_isSettled = true;
         m_cluster.announceExecutors();
-        m_cluster.run(15s);
+        if (m_hasFatalTasks)
+            m_cluster.runWithRegistrations(15s);
+        else
+            m_cluster.run(15s);
+        checkBudget();
         checkRecovery();
         return m_cluster.executors.violation;
     }
@@ -79,6 +94,17 @@
         int endStep = 0;
     };
 
+    static bool isFatalJob(const std::string &id) { return id.starts_with("fatal"); }
+
+    /// Checks that tasks that crash their executors were not started again without a limit.
+    void checkBudget()
+    {
+        for (const auto &[task, starts] : m_cluster.executors.startsBeyondBudget) {
+            if (starts >= 3)
+                m_cluster.executors.violate("started beyond its budget: " + toString(task));
+        }
+    }
+
     std::uint64_t draw(std::uint64_t n) { return m_random() % n; }
 
     std::string pickDaemon()
@@ -192,6 +218,11 @@
                          static_cast<std::uint32_t>(draw(3)));
     }
 
+    void submitFatal(const std::string &daemon, const std::string &id)
+    {
+        m_cluster.submit(daemon, id, 2, {4000, 64, 0}, 3s, 30s);
+    }
+
     void performCallerAction()
     {
         const std::string daemon = pickDaemon();
@@ -202,6 +233,10 @@
             m_cluster.node(daemon).jobs().cancel(JobId(id));
             return;
         }
+        if (m_hasFatalTasks && draw(12) == 0) {
+            submitFatal(daemon, "fatal" + std::to_string(++m_lastJob));
+            return;
+        }
         submit(daemon, "job" + std::to_string(++m_lastJob),
                1 + static_cast<std::uint32_t>(draw(8)));
     }
@@ -224,7 +259,10 @@
             // Same shape as in the first submission.
             const std::string id = it->second;
             const Resources shape = m_cluster.shapes[JobId(id)];
-            m_cluster.submit(pickDaemon(), id, 4, shape, 200ms, 2s);
+            if (isFatalJob(id))
+                submitFatal(pickDaemon(), id);
+            else
+                m_cluster.submit(pickDaemon(), id, 4, shape, 200ms, 2s);
             it = m_resubmissions.erase(it);
         }
     }
@@ -255,6 +293,7 @@
     std::mt19937_64 m_random;
     DispatchCluster m_cluster;
     Fault m_faults[3];
+    const bool m_hasFatalTasks;
     bool m_lossyOrders = false;
     bool m_slowNetwork = false;
     bool m_isSettled = false; // all faults have ended
@@ -291,15 +330,16 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(randomSchedules)
+/// Runs the schedules that the environment asks for, \a runs by default.
+static void runSchedules(Schedule::Tasks tasks, std::uint64_t runs)
 {
-    const std::uint64_t runs = environmentNumber("EP_RANDOM_RUNS", 300);
+    runs = environmentNumber("EP_RANDOM_RUNS", runs);
     const std::uint64_t first = environmentNumber("EP_RANDOM_SEED", 1);
     Base::setLogLevel(std::getenv("EP_LOG") ? Base::LogLevel::Debug : Base::LogLevel::Error);
     std::size_t failures = 0;
     std::size_t completed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        Schedule schedule(seed);
+        Schedule schedule(seed, tasks);
         const std::string violation = schedule.run();
         completed += schedule.completed();
         if (violation.empty())
@@ -312,3 +352,14 @@
     }
     BOOST_TEST(completed > runs * 20);
 }
+
+BOOST_AUTO_TEST_CASE(randomSchedules)
+{
+    runSchedules(Schedule::Tasks::Harmless, 300);
+}
+
+// Some tasks crash the executors that start them.
+BOOST_AUTO_TEST_CASE(randomSchedulesWithFatalTasks)
+{
+    runSchedules(Schedule::Tasks::SomeFatal, 150);
+}
