Dispatch: a start that is refused for its order counts as a failure of the task

What callers would see: a task whose order every executor refuses (400) is sent to one after the other until its deadline, and each executor gets no other task for 300 ms. Not seen on a deployment; found by looking for retries without a count.

Cause: the refusal was taken for a state of the executor.

Change: it counts as a failed attempt, which the queue's maxAttempts limits, and as a failure of the executor, which is ejected only after three jobs.

Evidence: refusedOrderDoesNotBlockTheExecutors had 24 refused starts in 2 s and no end of the job; now 3.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -509,9 +509,11 @@
         executor->answerMissed(now);
         executor->nextTry = now;
     }
-    if (result.outcome == OrderOutcome::Unhealthy || result.refusal == RefusalReason::NoResources
-        || result.refusal == RefusalReason::Other) {
+    if (result.outcome == OrderOutcome::Unhealthy || result.refusal == RefusalReason::NoResources)
         executor->backOff(now + Constants::BACK_OFF_MS);
+    if (result.refusal == RefusalReason::Other) {
+        orderRefused(*executor, id, number);
+        return;
     }
     const auto task = m_tasks.find(id);
     if (result.refusal == RefusalReason::OldRun && task != m_tasks.end())
@@ -520,6 +522,26 @@
     placeQueued();
 }
 
+/// Handles a start that was refused for a reason other than the state of the executor. The task
+/// counts as failed, so that the number of such starts is limited. The executor is only ejected if
+/// it refuses those of several jobs.
+void ExecutorGroup::orderRefused(ExecutorState &executor, const TaskId &id, RunNumber run)
+{
+    ++m_counters.failed;
+    if (executor.runFailed(id.job, m_timers.now()))
+        Base::log(LogLevel::Warning, "executorEjected", {{"executor", executor.info().id}});
+    const auto task = m_tasks.find(id);
+    if (task == m_tasks.end())
+        return;
+    const bool isCancelled = task->second.isCancelled;
+    // A task that was dropped and claimed again has a coordinator that waits for the report.
+    task->second.isDropped &= isCancelled;
+    finishTask(id, run, isCancelled ? TaskReportState::Lost : TaskReportState::Failed,
+               executor.info().id);
+    placeQueued();
+    flushReports();
+}
+
 /// Handles a task that no longer has a run. \a mayHaveStarted: the run may have been started, so
 /// the coordinator decides whether to start another one.
 void ExecutorGroup::requeue(const TaskId &id, bool mayHaveStarted)
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -156,6 +156,7 @@
     void start(ExecutorState &executor, const TaskId &id, Task &task);
     void startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
                        const OrderResult &result);
+    void orderRefused(ExecutorState &executor, const TaskId &id, RunNumber run);
     void requeue(const TaskId &id, bool mayHaveStarted);
     void stopRun(ExecutorState &executor, const TaskId &id, Run &run);
     void stopAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
--- a/src/libs/dispatch/executorport.h
+++ b/src/libs/dispatch/executorport.h
@@ -26,7 +26,7 @@
     OldRun,       ///< This run of the task or a higher one has ended or was stopped there.
     LeaseExpired, ///< The lease in the order had expired on arrival.
     NoResources,
-    Other,
+    Other, ///< The order itself, as far as is known.
 };
 
 struct OrderResult
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -217,6 +217,11 @@
             result.refusal = RefusalReason::LeaseExpired;
             return result;
         }
+        if (isMalformed(order)) {
+            ++malformedCount;
+            result.refusal = RefusalReason::Other;
+            return result;
+        }
         if (running != executor.runs.end())
             violate("two runs of a task on one executor: " + toString(order.task));
         extendLease(executor, order.leaseEnd);
@@ -325,6 +330,9 @@
     bool isCrashNoticed = false;
     /// Whether the task crashes its executor.
     std::function<bool(const StartOrder &)> isFatal = [](const StartOrder &) { return false; };
+    /// Whether executors refuse to start the task for its order.
+    std::function<bool(const StartOrder &)> isMalformed = [](const StartOrder &) { return false; };
+    int malformedCount = 0; // refused for that reason
     /// Executors that crashed under each task.
     std::map<TaskId, std::set<std::pair<ExecutorId, Lifetime>>> crashedBy;
     /// Starts of each task after BUDGET_CRASHES executors had crashed under it.
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -102,6 +102,25 @@
     check();
 }
 
+// An order that all executors refuse went from one to the next without a limit, and each of them
+// got no other tasks for a while.
+BOOST_AUTO_TEST_CASE(refusedOrderDoesNotBlockTheExecutors)
+{
+    executors.isMalformed = [](const StartOrder &order) {
+        return order.task.job == JobId("malformed");
+    };
+    submit("a1", "malformed", 1, {6800, 64, 0}, 3s, 20s);
+    std::size_t submitted = 0;
+    for (int i = 0; i < 20; ++i) {
+        submit("a1", "job" + std::to_string(++submitted), 8);
+        run(100ms);
+    }
+    BOOST_TEST(count(JobOutcome::Completed) == submitted);
+    BOOST_TEST(count(JobOutcome::Failed) == 1U);
+    BOOST_TEST(executors.malformedCount == 3); // maxAttempts
+    check();
+}
+
 // Running tasks continue under the new owner when the previous one is lost.
 BOOST_AUTO_TEST_CASE(takeoverKeepsRunningTasks)
 {
