Dispatch: a contested owner confirms its token before it uses an executor that appears

What callers would see: a task that runs twice at one time, after a change of ownership that the earlier owner has not heard of. Found by the new schedules; with executors that crash and return all the time it is likelier.

Cause: an executor that restarts knows no token, so it accepts that of an owner that has been replaced. That owner learned of the claim only from executors that the new owner had fenced, up to 400 ms later, and started a queued task, which the new owner had started elsewhere, on the executor that had just restarted.

Change: while its group is contested, an owner uses an executor that appears or restarts only after another executor has accepted its token in an order that was sent later. The new owner fences all executors that it lists before it starts anything, so such an order is refused if there is one. Two executors are asked at once, which takes one round trip. Not covered: a new owner whose list still lacks the executor.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -21,6 +21,8 @@
 /// A group is contested for this long after its claim and after the loss of a peer: longer than the
 /// latest claims that follow the loss.
 constexpr milliseconds CONTESTED_MS{6000};
+/// Number of executors that are asked before an executor is used that appeared meanwhile.
+constexpr std::size_t CONFIRMING_EXECUTORS = 2;
 /// An order is answered or times out within this: the time-out of the adapter and a margin.
 constexpr milliseconds ORDER_TIMEOUT_MS{250};
 /// Pause between holds of an executor that does not answer.
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -77,6 +77,8 @@
             known = &m_executors.emplace(it.id, ExecutorState(it)).first->second;
             Base::log(LogLevel::Info, "executorAdded",
                       {{"executor", it.id}, {"address", it.address}, {"lifetime", it.lifetime}});
+            if (m_hasExecutors)
+                executorAppeared(*known);
         } else {
             if (it.lifetime > known->lifetime() && it.lifetime > known->endedLifetime())
                 executorRestarted(*known, it.lifetime);
@@ -86,6 +88,7 @@
         if (!known->hasListing && !known->isImmediateHoldPending)
             hold(*known, true);
     }
+    m_hasExecutors = true;
     removeUnregistered();
     ++m_loadVersion;
     placeQueued();
@@ -622,14 +625,14 @@
     const std::uint64_t sequence = ++m_lastHold;
     m_port.hold(executor.info(), order,
                 [this, alive = m_isAlive, executorId = executor.info().id, isImmediate, sequence,
-                 lifetime = executor.lifetime()](const HoldResult &result) {
+                 lifetime = executor.lifetime(), now](const HoldResult &result) {
                     if (*alive)
-                        holdAnswered(executorId, isImmediate, sequence, lifetime, result);
+                        holdAnswered(executorId, isImmediate, sequence, lifetime, now, result);
                 });
 }
 
 void ExecutorGroup::holdAnswered(const ExecutorId &executorId, bool isImmediate,
-                                 std::uint64_t sequence, Lifetime lifetime,
+                                 std::uint64_t sequence, Lifetime lifetime, Base::TimePoint sent,
                                  const HoldResult &result)
 {
     ExecutorState *executor = findExecutor(executorId);
@@ -676,6 +679,7 @@
         return;
     }
     m_wasAccepted = true;
+    tokenConfirmed(*executor, sent);
     if (executor->lifetime().value() == 0)
         executor->setLifetime(result.lifetime);
     if (result.order.clock)
@@ -687,6 +691,61 @@
     pollExecutor(*executor);
 }
 
+/// An executor that has just started accepts any token. While another daemon may have claimed the
+/// group, tasks that wait here may run there already, on executors that refuse this owner's token.
+void ExecutorGroup::executorAppeared(ExecutorState &executor)
+{
+    executor.unconfirmedSince.reset();
+    if (!isContested())
+        return;
+    const bool canConfirm =
+        std::any_of(m_executors.begin(), m_executors.end(), [&executor](const auto &it) {
+            return &it.second != &executor && it.second.hasListing && !it.second.unconfirmedSince;
+        });
+    if (!canConfirm)
+        return;
+    executor.unconfirmedSince = m_timers.now();
+    requestConfirmation();
+}
+
+/// Asks some executors that would know of another owner.
+void ExecutorGroup::requestConfirmation()
+{
+    std::size_t asked = 0;
+    for (auto &[id, executor] : m_executors) {
+        if (!executor.hasListing || executor.unconfirmedSince || executor.missedAnswers > 0)
+            continue;
+        if (!executor.isImmediateHoldPending)
+            hold(executor, true);
+        if (++asked == Constants::CONFIRMING_EXECUTORS)
+            return;
+    }
+}
+
+void ExecutorGroup::checkUnconfirmed()
+{
+    if (isContested()) {
+        requestConfirmation();
+        return;
+    }
+    for (auto &[id, executor] : m_executors)
+        executor.unconfirmedSince.reset();
+    loadChanged();
+}
+
+/// \a executor has accepted the token in an order that was sent at \a sent.
+void ExecutorGroup::tokenConfirmed(const ExecutorState &executor, Base::TimePoint sent)
+{
+    if (executor.unconfirmedSince || !executor.hasListing)
+        return;
+    for (auto &[id, other] : m_executors) {
+        if (!other.unconfirmedSince || *other.unconfirmedSince > sent)
+            continue;
+        other.unconfirmedSince.reset();
+        loadChanged();
+    }
+}
+
 void ExecutorGroup::listingReceived(ExecutorState &executor, std::uint64_t sequence,
                                     const HoldResult &result)
 {
@@ -902,6 +961,7 @@
         lost.push_back(task);
     runsGone(executor, lost, RunLoss::ExecutorRestarted);
     executor.beginLifetime(lifetime);
+    executorAppeared(executor);
     loadChanged();
     executor.nextTry = m_timers.now();
     flushReports();
@@ -1165,6 +1225,11 @@
         if (m_isFenced)
             return;
     }
+    const bool isUnconfirmed =
+        std::any_of(m_executors.begin(), m_executors.end(),
+                    [](const auto &it) { return it.second.unconfirmedSince.has_value(); });
+    if (isUnconfirmed)
+        checkUnconfirmed();
     removeUnregistered();
     if (now - m_lastPrune >= Constants::END_PRUNE_INTERVAL_MS) {
         m_lastPrune = now;
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -163,7 +163,12 @@
                       const OrderResult &result);
     void hold(ExecutorState &executor, bool isImmediate);
     void holdAnswered(const ExecutorId &executorId, bool isImmediate, std::uint64_t sequence,
-                      Lifetime lifetime, const HoldResult &result);
+                      Lifetime lifetime, Base::TimePoint sent, const HoldResult &result);
+    bool isContested() const { return m_timers.now() < m_contestedUntil; }
+    void executorAppeared(ExecutorState &executor);
+    void requestConfirmation();
+    void checkUnconfirmed();
+    void tokenConfirmed(const ExecutorState &executor, Base::TimePoint sent);
     void listingReceived(ExecutorState &executor, std::uint64_t sequence, const HoldResult &result);
     void endReceived(ExecutorState &executor, const ListedEnd &end);
     void runGone(ExecutorState &executor, const TaskId &id, RunLoss cause);
@@ -221,6 +226,7 @@
     Base::TimePoint m_lastTick;
     Base::TimePoint m_contestedUntil;
     bool m_isFlushScheduled = false;
+    bool m_hasExecutors = false; // setExecutors() has been called
     GroupCounters m_counters;
 };
 
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -111,7 +111,7 @@
 
 bool ExecutorState::isUsable(Base::TimePoint now) const
 {
-    return hasListing && isRegistered && !m_info.draining && missedAnswers == 0
+    return hasListing && isRegistered && !m_info.draining && missedAnswers == 0 && !unconfirmedSince
            && now >= m_unusableUntil;
 }
 
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -100,6 +100,9 @@
     Base::TimePoint nextTry;
     Base::TimePoint lastAnswer; // to a hold under the group's token
     EndSequence seenUpTo;
+    /// Set if it appeared while the group was contested: it may not have seen the token of another
+    /// owner, and gets no tasks until another executor has confirmed this owner's token.
+    std::optional<Base::TimePoint> unconfirmedSince;
 
 private:
     ExecutorInfo m_info;
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -321,6 +321,11 @@
     {12423, "a claim was answered with the end of another run with the same number"},
 };
 
+/// The same, of schedules with fatal tasks.
+static const std::pair<std::uint64_t, const char *> FATAL_REGRESSION_SEEDS[] = {
+    {111272, "an owner that had not heard of a claim used an executor that had just restarted"},
+};
+
 BOOST_AUTO_TEST_CASE(regressionSeeds)
 {
     Base::setLogLevel(Base::LogLevel::Error);
@@ -328,6 +333,10 @@
         const std::string violation = Schedule(seed).run();
         BOOST_TEST(violation == "", "seed " << seed << " (" << cause << "): " << violation);
     }
+    for (const auto &[seed, cause] : FATAL_REGRESSION_SEEDS) {
+        const std::string violation = Schedule(seed, Schedule::Tasks::SomeFatal).run();
+        BOOST_TEST(violation == "", "seed " << seed << " (" << cause << "): " << violation);
+    }
 }
 
 /// Runs the schedules that the environment asks for, \a runs by default.
