Dispatch: a resumed owner starts no queued tasks of coordinators that may be lost

What callers would see: a task that runs twice at one time. The owner of a group was paused; a coordinator was lost meanwhile, and its callers submitted their jobs again to other daemons.

Cause: after its pause the owner notices the loss only by silence, up to 0.9 s later, and started the tasks that were queued before the pause.

Change: for 1 s after a pause, a queued task is started only if its coordinator has sent it since.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -98,6 +98,9 @@
 constexpr milliseconds REMOTE_PEER_SILENCE_MS{900};
 /// The same for a peer whose connection broke.
 constexpr milliseconds BROKEN_PEER_SILENCE_MS{200};
+/// The loss of a peer during a pause of this process is noticed within this time after it: the
+/// longest of these limits, and two ticks.
+constexpr milliseconds ORPHAN_DETECTION_MS{1000};
 /// An unconfirmed claim expires when its owner has been silent for this much longer than the limit
 /// for peers.
 constexpr milliseconds CLAIM_MARGIN_MS{200};
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -155,6 +155,7 @@
     Task task;
     task.coordinator = from;
     task.batch = batch;
+    task.lastSent = m_timers.now();
     task.nextRun = nextRun;
     if (claimFoundRun(id, task))
         return;
@@ -219,6 +220,7 @@
         task.coordinator = from;
     }
     task.batch = batch;
+    task.lastSent = m_timers.now();
     task.nextRun = std::max(task.nextRun, minRun);
     if (task.state != TaskState::OnExecutor)
         return true;
@@ -284,6 +286,8 @@
                        TaskReportState::GivenUp, {});
             continue;
         }
+        if (mayBeOrphaned(task->second))
+            continue;
         const bool isSuspect = m_losses.isSuspect(it->task);
         const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [it](const auto &entry) {
             return entry.first == it->service && entry.second.fits(it->shape);
@@ -305,6 +309,13 @@
     }
 }
 
+/// After a pause of this process, the loss of a coordinator during the pause is noticed late. Its
+/// callers may have submitted their jobs again to other daemons meanwhile.
+bool ExecutorGroup::mayBeOrphaned(const Task &task) const
+{
+    return task.lastSent < m_resumed && m_timers.now() - m_resumed < Constants::ORPHAN_DETECTION_MS;
+}
+
 static double speedFor(const ExecutorState &executor, const Wire::TaskBatch &batch)
 {
     const bool isOtherRack = !batch.rack.empty() && executor.info().rack != batch.rack;
@@ -1203,6 +1214,7 @@
     const Base::TimePoint now = m_timers.now();
     if (now - std::exchange(m_lastTick, now) > Constants::PAUSE_MS) {
         Base::log(LogLevel::Warning, "ownerPaused", {{"group", m_group}, {"token", m_token}});
+        m_resumed = now;
         // An executor that restarted in the meantime has lost the higher token of another owner.
         for (auto &[id, executor] : m_executors) {
             executor.hasListing = false;
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -122,6 +122,7 @@
         bool isCancelled = false;
         bool isDropped = false; // cancelled, and to be removed without a report
         Base::TimePoint queuedAt;
+        Base::TimePoint lastSent; // by its coordinator
     };
 
     struct EndedTask
@@ -146,6 +147,7 @@
                     const TaskId &id, std::uint64_t minRun);
     void enqueue(const TaskId &id, Task &task);
     void placeQueued();
+    bool mayBeOrphaned(const Task &task) const;
     void returnUnplaced(const BatchInfo &batch, const std::vector<Wire::BatchTask> &tasks);
     bool isEligible(const ExecutorState &executor, const BatchInfo &batch) const;
     ExecutorState *chooseExecutor(const TaskId &id, const BatchInfo &batch);
@@ -225,6 +227,7 @@
     std::uint64_t m_loadVersion = 1;
     Base::TimePoint m_lastTick;
     Base::TimePoint m_contestedUntil;
+    Base::TimePoint m_resumed; // end of the last pause of this process
     bool m_isFlushScheduled = false;
     bool m_hasExecutors = false; // setExecutors() has been called
     GroupCounters m_counters;
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -170,6 +170,34 @@
     check();
 }
 
+// A coordinator is lost while the owner is paused. Its caller submits the job again to another
+// daemon, which uses the other domain.
+BOOST_AUTO_TEST_CASE(resumedOwnerStartsNoTasksOfALostCoordinator)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(500ms, RunEnd::Done);
+    };
+    const std::string owner = ownerOf("a");
+    const std::string coordinator = otherThan(owner);
+    for (const ExecutorInfo &it : executors.infos()) {
+        if (it.domain.value() == "b")
+            executors.partitioned.insert({owner, it.id});
+    }
+    submit(owner, "long", 16, {6800, 64, 0}, 500ms, 20s);
+    run(20ms);
+    submit(coordinator, "job", 4, {6800, 64, 0}, 1s, 20s);
+    run(20ms);
+    daemons.at(owner)->timers.pause();
+    run(100ms);
+    kill(coordinator);
+    run(500ms);
+    submit("b1", "job", 4, {6800, 64, 0}, 1s, 20s);
+    run(20ms);
+    daemons.at(owner)->timers.resume();
+    run(3s);
+    check();
+}
+
 // The outcome of an unanswered start is determined before the task is started elsewhere, even if
 // the order is carried out seconds later.
 BOOST_AUTO_TEST_CASE(lateStartRunsNothingTwice)
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -319,6 +319,7 @@
     {6023, "a daemon regained a group, and its report under the earlier token crossed a claim"},
     {11522, "as 3380"},
     {12423, "a claim was answered with the end of another run with the same number"},
+    {130315, "an owner that had been paused started queued tasks of a coordinator lost meanwhile"},
 };
 
 /// The same, of schedules with fatal tasks.
