Dispatch: the lease of a previous owner counts from when an executor appeared

What callers would see: a task that runs twice at one time. All executors of a group had crashed and returned, so none knew the token of the new owner; the previous owner, which had not heard of the claim, started a task on one of them. The new owner, 1.7 s after its claim, took every lease of the previous owner for expired and started the task again. Found by the schedules with fatal tasks.

Cause: the limit assumed that each executor has known the new token since the claim. One that has appeared since has not.

Change: while an executor is not listed, the limit counts from when it appeared.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -77,6 +77,7 @@
             known = &m_executors.emplace(it.id, ExecutorState(it)).first->second;
             Base::log(LogLevel::Info, "executorAdded",
                       {{"executor", it.id}, {"address", it.address}, {"lifetime", it.lifetime}});
+            known->appeared = m_timers.now();
             if (m_hasExecutors)
                 executorAppeared(*known);
         } else {
@@ -972,6 +973,7 @@
         lost.push_back(task);
     runsGone(executor, lost, RunLoss::ExecutorRestarted);
     executor.beginLifetime(lifetime);
+    executor.appeared = m_timers.now();
     executorAppeared(executor);
     loadChanged();
     executor.nextTry = m_timers.now();
@@ -1073,13 +1075,19 @@
         m_listener.tasksReported(key.first, reports);
 }
 
+/// Whether all runs that a previous owner started have ended on executors that this one has not
+/// listed. The previous owner may not have heard of the claim. It renews leases until it checks its
+/// token with an executor that this owner has already sent a hold. An executor that has appeared
+/// since knows no token, so the previous owner may have started tasks there meanwhile.
 bool ExecutorGroup::isPreviousOwnerLeaseExpired() const
 {
-    // The previous owner may not have heard of the claim. It renews leases until it checks its
-    // token with an executor that this owner has already sent a hold.
-    return m_timers.now() >= m_claimed + Constants::TOKEN_CHECK_INTERVAL_MS
-                                 + Constants::ORDER_TIMEOUT_MS + Constants::LEASE_MS
-                                 + Constants::LEASE_SLACK_MS;
+    const Base::TimePoint now = m_timers.now();
+    const Base::Duration limit = Constants::TOKEN_CHECK_INTERVAL_MS + Constants::ORDER_TIMEOUT_MS
+                                 + Constants::LEASE_MS + Constants::LEASE_SLACK_MS;
+    return now >= m_claimed + limit
+           && std::none_of(m_executors.begin(), m_executors.end(), [&](const auto &it) {
+                  return !it.second.hasListing && now < it.second.appeared + limit;
+              });
 }
 
 /// Whether a task of a previous owner that is in no listing is certainly not running any more. It
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -325,6 +325,7 @@
 /// The same, of schedules with fatal tasks.
 static const std::pair<std::uint64_t, const char *> FATAL_REGRESSION_SEEDS[] = {
     {111272, "an owner that had not heard of a claim used an executor that had just restarted"},
+    {150569, "the same; the new owner took the lease there for expired"},
 };
 
 BOOST_AUTO_TEST_CASE(regressionSeeds)
