Dispatch: executors that appear are used at once if none can confirm the token

What callers would see: after the loss of all executors of a group and of a peer, a group without usable executors for up to 6 s. Found when the change was read again.

Cause: an executor that is registered and silent counted as one that can confirm the owner's token. An executor that has been replaced also delayed the tasks of a previous owner, as if something could still be started there.

Change: without an executor that answers, no confirmation is awaited; only a lifetime that is known delays the tasks of a previous owner.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -710,18 +710,12 @@
     executor.unconfirmedSince.reset();
     if (!isContested())
         return;
-    const bool canConfirm =
-        std::any_of(m_executors.begin(), m_executors.end(), [&executor](const auto &it) {
-            return &it.second != &executor && it.second.hasListing && !it.second.unconfirmedSince;
-        });
-    if (!canConfirm)
-        return;
     executor.unconfirmedSince = m_timers.now();
-    requestConfirmation();
+    checkUnconfirmed();
 }
 
-/// Asks some executors that would know of another owner.
-void ExecutorGroup::requestConfirmation()
+/// Asks some executors that would know of another owner. Returns false if there are none.
+bool ExecutorGroup::requestConfirmation()
 {
     std::size_t asked = 0;
     for (auto &[id, executor] : m_executors) {
@@ -730,16 +724,16 @@
         if (!executor.isImmediateHoldPending)
             hold(executor, true);
         if (++asked == Constants::CONFIRMING_EXECUTORS)
-            return;
+            break;
     }
+    return asked > 0;
 }
 
+/// Executors that appeared are used without a confirmation if no executor can give it.
 void ExecutorGroup::checkUnconfirmed()
 {
-    if (isContested()) {
-        requestConfirmation();
+    if (isContested() && requestConfirmation())
         return;
-    }
     for (auto &[id, executor] : m_executors)
         executor.unconfirmedSince.reset();
     loadChanged();
@@ -973,7 +967,8 @@
         lost.push_back(task);
     runsGone(executor, lost, RunLoss::ExecutorRestarted);
     executor.beginLifetime(lifetime);
-    executor.appeared = m_timers.now();
+    if (!executor.hasEnded())
+        executor.appeared = m_timers.now();
     executorAppeared(executor);
     loadChanged();
     executor.nextTry = m_timers.now();
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -168,7 +168,7 @@
                       Lifetime lifetime, Base::TimePoint sent, const HoldResult &result);
     bool isContested() const { return m_timers.now() < m_contestedUntil; }
     void executorAppeared(ExecutorState &executor);
-    void requestConfirmation();
+    bool requestConfirmation();
     void checkUnconfirmed();
     void tokenConfirmed(const ExecutorState &executor, Base::TimePoint sent);
     void listingReceived(ExecutorState &executor, std::uint64_t sequence, const HoldResult &result);
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -243,6 +243,34 @@
     check();
 }
 
+// No executor is left that could confirm the token of the owner, whose group is contested.
+BOOST_AUTO_TEST_CASE(executorsThatReturnTogetherAreUsedAtOnce)
+{
+    run(8s);
+    kill("c2");
+    run(1s);
+    for (const ExecutorInfo &it : executors.infos())
+        executors.crash(it.id);
+    run(1s);
+    // Two of each domain return; the others are registered and silent.
+    for (const char *domain : {"a", "b"}) {
+        for (int i = 0; i < 2; ++i)
+            executors.restart(ExecutorId(fmt::format("{}-x{}", domain, i)));
+    }
+    auto registered = executors.infos();
+    for (const char *domain : {"a", "b"}) {
+        for (int i = 2; i < 4; ++i)
+            registered.push_back(executors.at(ExecutorId(fmt::format("{}-x{}", domain, i))).info);
+    }
+    for (const auto &[name, daemon] : daemons)
+        daemon->node.setExecutors(registered);
+    run(300ms);
+    submit("c1", "job", 8, {6800, 64, 0}, 200ms, 5s);
+    run(300ms);
+    BOOST_TEST(count(JobOutcome::Completed) == 1U);
+    check();
+}
+
 // A job whose result would come too late is not worth another executor.
 BOOST_AUTO_TEST_CASE(uselessJobIsNotStartedAgainAfterALoss)
 {
