--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -329,18 +329,28 @@
 }
 
 /// All daemons are told, since any of them may own a group or coordinate the job next.
-void DispatchNode::executorLost(const ExecutorId &executor, Lifetime lifetime,
-                                const std::vector<TaskId> &tasks)
+void DispatchNode::executorLost(const ExecutorLoss &loss)
 {
     Base::log(Base::LogLevel::Warning, "executorLost",
-              {{"executor", executor}, {"lifetime", lifetime}, {"tasks", tasks.size()}});
-    const Wire::Message message = m_losses.add(executor, lifetime, tasks);
+              {{"executor", loss.executor},
+               {"lifetime", loss.lifetime},
+               {"grounds", toString(loss.grounds)},
+               {"silence", loss.silence},
+               {"tasks", loss.tasks.size()},
+               {"first", toString(loss.tasks.front())}});
+    const Wire::Message message = m_losses.add(loss.executor, loss.lifetime, loss.tasks);
     for (const auto &[peer, connections] : m_connections) {
         if (m_peers.isConnected(peer))
             m_peers.send(peer, message);
     }
 }
 
+void DispatchNode::executorBack(const ExecutorId &executor, Lifetime lifetime)
+{
+    if (m_losses.tasksLostWith(executor, lifetime) > 0)
+        ++m_contradictedLosses;
+}
+
 /// Probes with the lowest token, which executors answer without changing their state.
 void DispatchNode::probeGroup(const GroupId &group)
 {
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -667,10 +667,12 @@
     case OrderOutcome::NotSent:
     case OrderOutcome::Unknown:
         executor->answerMissed(now);
+        executor->isDisconnected |= result.order.isDisconnected;
         if (executor->missedAnswers == 1) {
             Base::log(LogLevel::Warning, "executorSilent",
                       {{"executor", executorId},
                        {"outcome", static_cast<int>(result.order.outcome)},
+                       {"disconnected", result.order.isDisconnected ? 1 : 0},
                        {"runs", executor->runs().size()}});
         }
         executor->nextTry = now + Constants::HOLD_RETRY_MS;
@@ -680,9 +682,17 @@
         executorRestarted(*executor, result.lifetime);
         return;
     }
-    if (executor->missedAnswers > 0 && executor->hasListing)
-        Base::log(LogLevel::Info, "executorBack", {{"executor", executorId}});
+    if (executor->missedAnswers > 0 && executor->hasListing) {
+        Base::log(
+            LogLevel::Info, "executorBack",
+            {{"executor", executorId},
+             {"lifetime", result.lifetime},
+             {"silence", executor->silentSince ? now - *executor->silentSince : Base::Duration(0)},
+             {"tasksLost", m_losses.tasksLostWith(executorId, result.lifetime)}});
+        m_listener.executorBack(executorId, result.lifetime);
+    }
     executor->missedAnswers = 0;
+    executor->isDisconnected = false;
     executor->silentSince.reset();
     executor->lastAnswer = now;
     if (result.lifetime.value() > 0 && executor->lifetime().value() > 0
@@ -944,8 +954,15 @@
         cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
     if (isExecutorLost && !tasks.empty()) {
         m_counters.lostWithExecutor += tasks.size();
+        ExecutorLoss loss{
+            executor.info().id, executor.lifetime(), LossGrounds::OtherLifetime, {}, tasks};
+        if (cause == RunLoss::ExecutorSilent) {
+            loss.grounds =
+                executor.isDisconnected ? LossGrounds::Disconnected : LossGrounds::NoAnswer;
+            loss.silence = m_timers.now() - *executor.silentSince;
+        }
         // Before the reports, so that coordinators know of the loss when they decide on the task.
-        m_listener.executorLost(executor.info().id, executor.lifetime(), tasks);
+        m_listener.executorLost(loss);
     }
     for (const TaskId &it : tasks)
         runGone(executor, it, cause);
@@ -1136,7 +1153,7 @@
             !task.executor.isEmpty() && (!executor || !executor->hasListing);
         if (isExecutorLost) {
             const Lifetime lifetime = executor ? executor->lifetime() : Lifetime();
-            m_listener.executorLost(task.executor, lifetime, {it});
+            m_listener.executorLost({task.executor, lifetime, LossGrounds::NotFound, {}, {it}});
         }
         enqueue(it, task);
     }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -27,9 +27,10 @@
     /// An executor has seen a higher token, so the group must not be used any more. \a wasAccepted:
     /// an earlier order under the group's token was accepted.
     virtual void groupFenced(const GroupId &group, bool wasAccepted) = 0;
-    /// A lifetime of an executor ended while it ran \a tasks; one of them may have crashed it.
-    virtual void executorLost(const ExecutorId &executor, Lifetime lifetime,
-                              const std::vector<TaskId> &tasks) = 0;
+    /// An executor counts as lost; one of the tasks that it ran may have crashed it.
+    virtual void executorLost(const ExecutorLoss &loss) = 0;
+    /// An executor answered after a time without an answer.
+    virtual void executorBack(const ExecutorId &executor, Lifetime lifetime) = 0;
 };
 
 /// Counters of one group since its claim.
--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -3,10 +3,27 @@
 
 #include "dispatchconstants.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace Dispatch {
 
+const char *toString(LossGrounds grounds)
+{
+    switch (grounds) {
+    case LossGrounds::NoAnswer:
+        return "noAnswer";
+    case LossGrounds::Disconnected:
+        return "disconnected";
+    case LossGrounds::OtherLifetime:
+        return "otherLifetime";
+    case LossGrounds::NotFound:
+        break;
+    }
+    return "notFound";
+}
+
 ExecutorLosses::ExecutorLosses(Base::Timers &timers)
     : m_timers(timers)
     , m_lastPrune(timers.now())
@@ -100,6 +117,28 @@
     return false;
 }
 
+std::size_t ExecutorLosses::tasksLostWith(const ExecutorId &executor, Lifetime lifetime) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_losses.begin(), m_losses.end(), [&](const auto &it) {
+            return it.second.contains({executor, lifetime});
+        }));
+}
+
+std::string ExecutorLosses::describe(const TaskId &task) const
+{
+    std::string text;
+    const auto it = m_losses.find(task);
+    if (it == m_losses.end())
+        return text;
+    for (const auto &[executor, time] : it->second) {
+        const auto ageMs = Base::toMilliseconds(m_timers.now() - time);
+        text += fmt::format("{}{}@{}/{}ms", text.empty() ? "" : ",", executor.first.value(),
+                            executor.second.value(), ageMs);
+    }
+    return text;
+}
+
 void ExecutorLosses::tick()
 {
     const Base::TimePoint now = m_timers.now();
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -13,6 +13,25 @@
 
 namespace Dispatch {
 
+/// Why an executor counts as lost with its runs.
+enum class LossGrounds {
+    NoAnswer,      ///< The leases of its runs expired without an answer, on open connections.
+    Disconnected,  ///< The same, after it had closed, reset or refused a connection.
+    OtherLifetime, ///< Another lifetime of it is known.
+    NotFound,      ///< A new owner did not find it when the leases of its runs had expired.
+};
+const char *toString(LossGrounds grounds);
+
+/// The loss of one lifetime of an executor.
+struct ExecutorLoss
+{
+    ExecutorId executor;
+    Lifetime lifetime; // 0 if unknown
+    LossGrounds grounds = LossGrounds::NoAnswer;
+    Base::Duration silence{0}; // since the first missed answer
+    std::vector<TaskId> tasks; // of which it had runs
+};
+
 class ExecutorLosses
 {
 public:
@@ -35,6 +54,10 @@
     bool isGivenUp(const TaskId &task) const;
     bool hasGivenUpTask(const JobId &job) const;
     std::size_t taskCount() const { return m_losses.size(); }
+    /// Number of tasks under which this lifetime of the executor is recorded as lost.
+    std::size_t tasksLostWith(const ExecutorId &executor, Lifetime lifetime) const;
+    /// The executors lost under the task, for logs.
+    std::string describe(const TaskId &task) const;
 
     /// Removes entries older than the retention.
     void tick();
--- a/src/libs/dispatch/executorport.h
+++ b/src/libs/dispatch/executorport.h
@@ -34,6 +34,8 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     RefusalReason refusal = RefusalReason::None;
     std::optional<ExecutorTime> clock; // when the answer was sent
+    /// There is no answer since the executor closed, reset or refused the connection.
+    bool isDisconnected = false;
 };
 
 struct StartOrder
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -24,6 +24,7 @@
     seenUpTo = EndSequence();
     hasListing = false;
     hasUnacknowledgedEnds = false;
+    isDisconnected = false;
     m_speed = {};
     m_consecutiveFailures = 0;
     m_unusableUntil = {};
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -97,7 +97,8 @@
     void answerMissed(Base::TimePoint now);
     int missedAnswers = 0;                      // consecutive
     std::optional<Base::TimePoint> silentSince; // first of the missed answers
-    Base::TimePoint appeared;                   // registration or restart noticed
+    bool isDisconnected = false; // in this silence, it closed, reset or refused a connection
+    Base::TimePoint appeared;    // registration or restart noticed
     Base::TimePoint nextTry;
     Base::TimePoint lastAnswer; // to a hold under the group's token
     EndSequence seenUpTo;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -331,6 +331,7 @@
         taskLost(it, report);
         return;
     case TaskReportState::GivenUp:
+        logGivenUp({it->first, report.occurrence, report.step, report.index});
         finish(it, {JobOutcome::Failed, "executorsLost", {}});
         return;
     case TaskReportState::Failed:
@@ -374,6 +375,7 @@
                {"executor", report.executor},
                {"executorsLost", losses}});
     if (m_losses.isGivenUp(task)) {
+        logGivenUp(task);
         finish(it, {JobOutcome::Failed, "executorsLost", {}});
         return;
     }
@@ -382,6 +384,12 @@
         finish(it, {JobOutcome::TimedOut, "executorLost", {}});
 }
 
+void JobCoordinator::logGivenUp(const TaskId &task) const
+{
+    Base::log(LogLevel::Warning, "taskGivenUp",
+              {{"task", toString(task)}, {"executorsLost", m_losses.describe(task)}});
+}
+
 void JobCoordinator::stopTasks(const JobId &id, const Job &job)
 {
     std::set<GroupId> groups;
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -133,6 +133,7 @@
     void reportReceived(const Wire::TaskReports &reports, JobMap::iterator it,
                         const Wire::TaskReport &report);
     void taskLost(JobMap::iterator it, const Wire::TaskReport &report);
+    void logGivenUp(const TaskId &task) const;
     void sendClaims(const JobId &id, Job &job);
     void withdraw(JobMap::iterator it);
     void finishWithdrawn(JobMap::iterator it);
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -233,6 +233,16 @@
     return makeFailure(failure, curl_easy_strerror(code));
 }
 
+/// Whether the transfer failed because the peer closed, reset or refused the connection.
+static bool isDisconnectedByPeer(CURL *easy, CURLcode code)
+{
+    long error = 0; // errno of a failed connect
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+    return code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR
+           || code == CURLE_PARTIAL_FILE
+           || (code == CURLE_COULDNT_CONNECT && (error == ECONNREFUSED || error == ECONNRESET));
+}
+
 void Client::Private::finishTransfer(CURL *easy, CURLcode code)
 {
     Transfer *owner = nullptr;
@@ -244,6 +254,7 @@
     transfers.erase(it);
     ClientResponse response;
     response.status = transferStatus(easy, code);
+    response.isDisconnected = isDisconnectedByPeer(easy, code);
     if (response.status.ok()) {
         long httpStatus = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &httpStatus);
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -37,6 +37,8 @@
     /// OK if a complete HTTP response of any status was received. peerUnreachable: no byte of the
     /// request was sent. fateUnknown: the request may have been received.
     absl::Status status;
+    /// The peer closed, reset or refused the connection; not set if it did not react at all.
+    bool isDisconnected = false;
     int httpStatus = 0;
     std::string body;
 };
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -379,7 +379,8 @@
 public:
     void tasksReported(const Base::DaemonId &, const Wire::TaskReports &) override {}
     void groupFenced(const GroupId &, bool) override {}
-    void executorLost(const ExecutorId &, Lifetime, const std::vector<TaskId> &) override {}
+    void executorLost(const ExecutorLoss &) override {}
+    void executorBack(const ExecutorId &, Lifetime) override {}
 };
 
 // An executor that has been replaced at its address was asked for its runs 20 times a second, as
