Tests: a task on executors that were only unreachable is given up (known red)

Cause under test: an executor that does not answer until its lease expires is recorded as lost under its tasks, on silence alone, and the record is never corrected. Two such records end the job as failed.

tst_dispatch losses/taskOnUnreachableExecutorsIsNotGivenUp: two executors do not answer for 1.5 s each and are up all the time; the job is answered as failed after 2.4 s (Failed 1 != 0, Completed 0 != 1).

--- a/tests/auto/dispatch/dispatchcluster.h
+++ b/tests/auto/dispatch/dispatchcluster.h
@@ -114,6 +114,17 @@
             connect(a, b);
     }
 
+    /// Partitions an executor from all daemons, or reconnects it.
+    void setExecutorPartitioned(const ExecutorId &executor, bool isPartitioned)
+    {
+        for (const auto &[name, domain] : domains) {
+            if (isPartitioned)
+                executors.partitioned.insert({name, executor});
+            else
+                executors.partitioned.erase({name, executor});
+        }
+    }
+
     /// Partitions a failure domain from the daemons and executors of the others, or reconnects it.
     void setDomainPartitioned(const std::string &domain, bool isPartitioned)
     {
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -88,6 +88,7 @@
     }
 
     Executor &at(const ExecutorId &id) { return m_executors.at(id); }
+    const Executor &at(const ExecutorId &id) const { return m_executors.at(id); }
 
     void crash(const ExecutorId &id)
     {
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -43,6 +43,14 @@
             n += crashed.size();
         return n;
     }
+    std::optional<ExecutorId> executorWithRuns() const
+    {
+        for (const ExecutorInfo &it : executors.infos()) {
+            if (!executors.at(it.id).runs.empty())
+                return it.id;
+        }
+        return std::nullopt;
+    }
     void check() const
     {
         BOOST_TEST(executors.violation == "");
@@ -96,6 +104,31 @@
     check();
 }
 
+// Executors that were only unreachable were taken for crashed ones.
+BOOST_AUTO_TEST_CASE(taskOnUnreachableExecutorsIsNotGivenUp, *boost::unit_test::disabled())
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(2s, RunEnd::Done);
+    };
+    submit("c1", "job", 1, {6800, 64, 0}, 3s, 60s);
+    for (int i = 0; i < 3; ++i) {
+        std::optional<ExecutorId> executor;
+        for (int j = 0; j < 1000 && !executor; ++j) {
+            run(5ms);
+            executor = executorWithRuns();
+        }
+        if (!executor)
+            break;
+        setExecutorPartitioned(*executor, true);
+        run(1500ms);
+        setExecutorPartitioned(*executor, false);
+    }
+    run(5s);
+    BOOST_TEST(count(JobOutcome::Failed) == 0U);
+    BOOST_TEST(count(JobOutcome::Completed) == 1U);
+    check();
+}
+
 // Other tasks on an executor that crashes are lost with it, and only one is at fault.
 BOOST_AUTO_TEST_CASE(neighboursOfACrashingTaskAreCompleted)
 {
