--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -78,9 +78,18 @@
 constexpr int EJECT_FAILURES = 3;
 constexpr milliseconds EJECT_MS{2000};
 
-/// A task is given up when this many executors have been lost under it. After the first loss it
-/// runs alone, so the last one is its own doing.
+/// A task is given up when this many executors have provably crashed under it. After the first loss
+/// it runs alone, so the last one is its own doing.
 constexpr std::size_t MAX_EXECUTOR_LOSSES = 2;
+/// A task waits this long after its last loss for the proof that the executors have crashed: they
+/// are back, or others are at their addresses, before their registrations expire after 4.5 s.
+constexpr milliseconds LOSS_PROOF_WAIT_MS{5000};
+/// The wait doubles with each further loss. After this many the task is not started again.
+constexpr std::size_t MAX_UNPROVEN_LOSSES = 5;
+/// A loss that is recorded this much later than an answer of the same lifetime may still be
+/// earlier, since reports are delayed. Shorter than a lease, which separates two losses of a
+/// lifetime.
+constexpr milliseconds LOSS_ORDER_TOLERANCE_MS{700};
 /// Losses are remembered for this long: the longest time that a caller waits for a job.
 constexpr milliseconds LOSS_RETENTION_MS{600'000};
 constexpr milliseconds LOSS_PRUNE_INTERVAL_MS{1000};
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -77,6 +77,7 @@
 
 void DispatchNode::setExecutors(const std::vector<ExecutorInfo> &executors)
 {
+    m_losses.setExecutors(executors);
     divideDomains(executors);
     std::map<GroupId, Base::FailureDomainId> groups;
     std::map<GroupId, std::vector<ExecutorInfo>> lists;
@@ -98,8 +99,8 @@
         updateGroup(id, *group);
 }
 
-/// Sets the registered executors, and those that only the last owner knew as draining. The latter
-/// are queried under the new token, which fences the last owner there, and get no tasks.
+/// Sets the registered executors, and those that only the last owner knew. The latter are queried
+/// under the new token, which fences the last owner there, and get no tasks.
 void DispatchNode::updateGroup(const GroupId &id, ExecutorGroup &group)
 {
     std::vector<ExecutorInfo> executors = m_executors[id];
@@ -116,7 +117,8 @@
             executor.address = it.address;
             executor.service = ServiceId(it.service);
             executor.lifetime = Lifetime(it.lifetime);
-            executor.draining = true;
+            executor.draining = it.draining;
+            executor.isFromPreviousOwner = true;
             executors.push_back(executor);
         }
     }
@@ -134,7 +136,7 @@
         return message;
     for (const ExecutorInfo &it : executors->second)
         message.members.push_back(
-            {it.id.value(), it.address, it.service.value(), it.lifetime.value()});
+            {it.id.value(), it.address, it.service.value(), it.lifetime.value(), it.draining});
     return message;
 }
 
@@ -337,18 +339,28 @@
                {"grounds", toString(loss.grounds)},
                {"silence", loss.silence},
                {"tasks", loss.tasks.size()},
-               {"first", toString(loss.tasks.front())}});
-    const Wire::Message message = m_losses.add(loss.executor, loss.lifetime, loss.tasks);
-    for (const auto &[peer, connections] : m_connections) {
-        if (m_peers.isConnected(peer))
-            m_peers.send(peer, message);
-    }
+               {"first", toString(loss.tasks.front().id)}});
+    broadcast(m_losses.add(loss));
+}
+
+void DispatchNode::executorAnswered(const ExecutorId &executor, Lifetime lifetime)
+{
+    broadcast(m_losses.answered(executor, lifetime));
 }
 
-void DispatchNode::executorBack(const ExecutorId &executor, Lifetime lifetime)
+void DispatchNode::executorEnded(const ExecutorId &executor, Lifetime lifetime)
 {
-    if (m_losses.tasksLostWith(executor, lifetime) > 0)
-        ++m_contradictedLosses;
+    broadcast(m_losses.ended(executor, lifetime));
+}
+
+void DispatchNode::broadcast(const ExecutorLosses::Message &message)
+{
+    if (!message)
+        return;
+    for (const auto &[peer, connections] : m_connections) {
+        if (m_peers.isConnected(peer))
+            m_peers.send(peer, *message);
+    }
 }
 
 /// Probes with the lowest token, which executors answer without changing their state.
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -43,8 +43,6 @@
 
     JobCoordinator &jobs() { return m_jobs; }
     const ExecutorLosses &losses() const { return m_losses; }
-    /// Executors that answered in a lifetime that is recorded as lost.
-    std::uint64_t contradictedLosses() const { return m_contradictedLosses; }
     const std::map<GroupId, std::unique_ptr<ExecutorGroup>> &ownedGroups() const { return m_owned; }
     /// Whether at least one group with executors has an owner.
     bool canServe() const;
@@ -58,7 +56,8 @@
                        const Wire::TaskReports &reports) override;
     void groupFenced(const GroupId &group, bool wasAccepted) override;
     void executorLost(const ExecutorLoss &loss) override;
-    void executorBack(const ExecutorId &executor, Lifetime lifetime) override;
+    void executorAnswered(const ExecutorId &executor, Lifetime lifetime) override;
+    void executorEnded(const ExecutorId &executor, Lifetime lifetime) override;
     void groupClaimed(const GroupId &group, FencingToken token) override;
     void groupLost(const GroupId &group) override;
     void groupOwnerChanged(const GroupId &group) override;
@@ -77,6 +76,7 @@
     };
 
     void post(std::function<void()> action);
+    void broadcast(const ExecutorLosses::Message &message);
     void stateReceived(const Wire::PeerIdentity &from, const Wire::DispatchState &state);
     void handleMessage(const Base::DaemonId &from, const Wire::Message &message);
     /// Peers to which load reports are sent equally often.
@@ -124,7 +124,6 @@
     std::map<Base::DaemonId, std::pair<Base::Incarnation, std::uint64_t>> m_peerConnections;
     std::map<Base::FailureDomainId, std::size_t> m_groupCounts; // by domain; never decrease
     std::uint64_t m_stateRound = 0;
-    std::uint64_t m_contradictedLosses = 0;
     Base::TimerId m_tickTimer;
     Base::TimePoint m_lastTick;
     Base::TimePoint m_staleUntil; // messages delayed by a pause arrive until then
--- a/src/libs/dispatch/dispatchtypes.h
+++ b/src/libs/dispatch/dispatchtypes.h
@@ -124,7 +124,8 @@
     Resources capacity;
     std::string kind;
     std::string rack;
-    bool draining = false; // about to leave; accepts no new tasks
+    bool draining = false;            // about to leave; accepts no new tasks
+    bool isFromPreviousOwner = false; // known to the last owner only; gets no new tasks
     bool refusesOverload = false;
     Lifetime lifetime; // 0 if not registered
 
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -164,9 +164,12 @@
     if (entry.mayHaveStarted && !isCertainlyNotRunning(ExecutorId(entry.executor))) {
         added.state = TaskState::AwaitingListing;
         added.executor = ExecutorId(entry.executor);
+        added.lifetime = Lifetime(entry.lifetime);
         m_awaitingListing.insert(id);
         return;
     }
+    if (entry.mayHaveStarted)
+        previousRunGone(id, ExecutorId(entry.executor), Lifetime(entry.lifetime));
     enqueue(id, added);
 }
 
@@ -287,7 +290,7 @@
                        TaskReportState::GivenUp, {});
             continue;
         }
-        if (mayBeOrphaned(task->second))
+        if (mayBeOrphaned(task->second) || m_losses.startDelay(it->task).count() > 0)
             continue;
         const bool isSuspect = m_losses.isSuspect(it->task);
         const bool isTooBig = std::any_of(tooBig.begin(), tooBig.end(), [it](const auto &entry) {
@@ -417,7 +420,8 @@
         return;
     const auto task = m_tasks.find(m_reservation->task);
     const ExecutorState *executor = findExecutor(m_reservation->executor);
-    const bool isNeeded = task != m_tasks.end() && task->second.state == TaskState::Queued;
+    const bool isNeeded = task != m_tasks.end() && task->second.state == TaskState::Queued
+                          && m_losses.startDelay(m_reservation->task).count() == 0;
     if (!isNeeded || !executor || !executor->isUsable(m_timers.now()))
         releaseReservation();
 }
@@ -683,13 +687,11 @@
         return;
     }
     if (executor->missedAnswers > 0 && executor->hasListing) {
-        Base::log(
-            LogLevel::Info, "executorBack",
-            {{"executor", executorId},
-             {"lifetime", result.lifetime},
-             {"silence", executor->silentSince ? now - *executor->silentSince : Base::Duration(0)},
-             {"tasksLost", m_losses.tasksLostWith(executorId, result.lifetime)}});
-        m_listener.executorBack(executorId, result.lifetime);
+        Base::log(LogLevel::Info, "executorBack",
+                  {{"executor", executorId},
+                   {"lifetime", result.lifetime},
+                   {"silence",
+                    executor->silentSince ? now - *executor->silentSince : Base::Duration(0)}});
     }
     executor->missedAnswers = 0;
     executor->isDisconnected = false;
@@ -704,6 +706,7 @@
     tokenConfirmed(*executor, sent);
     if (executor->lifetime().value() == 0)
         executor->setLifetime(result.lifetime);
+    m_listener.executorAnswered(executorId, executor->lifetime());
     if (result.order.clock)
         executor->updateClock(*result.order.clock, now);
     listingReceived(*executor, sequence, result);
@@ -954,13 +957,21 @@
         cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
     if (isExecutorLost && !tasks.empty()) {
         m_counters.lostWithExecutor += tasks.size();
-        ExecutorLoss loss{
-            executor.info().id, executor.lifetime(), LossGrounds::OtherLifetime, {}, tasks};
-        if (cause == RunLoss::ExecutorSilent) {
-            loss.grounds =
-                executor.isDisconnected ? LossGrounds::Disconnected : LossGrounds::NoAnswer;
+        ExecutorLoss loss;
+        loss.executor = executor.info().id;
+        loss.lifetime = executor.lifetime();
+        loss.address = executor.info().address;
+        loss.service = executor.info().service;
+        for (const TaskId &it : tasks)
+            loss.tasks.push_back({it, executor.find(it)->isConfirmed});
+        if (executor.silentSince)
             loss.silence = m_timers.now() - *executor.silentSince;
-        }
+        if (executor.info().draining)
+            loss.grounds = LossGrounds::Draining;
+        else if (cause == RunLoss::ExecutorRestarted)
+            loss.grounds = LossGrounds::OtherLifetime;
+        else if (executor.isDisconnected)
+            loss.grounds = LossGrounds::Disconnected;
         // Before the reports, so that coordinators know of the loss when they decide on the task.
         m_listener.executorLost(loss);
     }
@@ -983,6 +994,7 @@
     for (const auto &[task, run] : executor.runs())
         lost.push_back(task);
     runsGone(executor, lost, RunLoss::ExecutorRestarted);
+    m_listener.executorEnded(executor.info().id, executor.lifetime());
     executor.beginLifetime(lifetime);
     if (!executor.hasEnded())
         executor.appeared = m_timers.now();
@@ -1069,8 +1081,10 @@
     // All reports of one message refer to the same batch: submit() flushes pending reports first.
     reports.batchesSeen = m_batchesSeen[coordinator];
     reports.job = id.job.value();
+    const ExecutorState *known = findExecutor(executor);
     reports.reports.push_back({id.occurrence, id.step, id.index, run.value(),
-                               static_cast<std::uint8_t>(state), executor.value()});
+                               static_cast<std::uint8_t>(state), executor.value(),
+                               known ? known->lifetime().value() : 0});
     if (m_isFlushScheduled)
         return;
     m_isFlushScheduled = true;
@@ -1125,6 +1139,34 @@
     return m_timers.now() - m_listChanged > Constants::REGISTRATION_SETTLING_MS;
 }
 
+/// Handles a run of a previous owner that is in no listing. It has been lost with its executor if
+/// that is not found, or found in a later lifetime.
+void ExecutorGroup::previousRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime)
+{
+    if (executor.isEmpty())
+        return;
+    const ExecutorState *state = findExecutor(executor);
+    ExecutorLoss loss;
+    loss.executor = executor;
+    loss.lifetime = lifetime;
+    loss.grounds = LossGrounds::NotFound;
+    loss.tasks = {{id, true}};
+    if (state) {
+        loss.address = state->info().address;
+        loss.service = state->info().service;
+        const bool isLater = lifetime.value() > 0 && state->lifetime() > lifetime;
+        if (state->hasListing && !isLater)
+            return;
+        if (state->info().draining)
+            loss.grounds = LossGrounds::Draining;
+        else if (isLater)
+            loss.grounds = LossGrounds::OtherLifetime;
+        else if (lifetime.value() == 0)
+            loss.lifetime = state->lifetime();
+    }
+    m_listener.executorLost(loss);
+}
+
 void ExecutorGroup::releaseAwaitingListing()
 {
     std::vector<TaskId> known;
@@ -1148,13 +1190,7 @@
         }
         if (ended != m_ended.end())
             task.nextRun = std::max(task.nextRun, ended->second.run.value() + 1);
-        const ExecutorState *executor = findExecutor(task.executor);
-        const bool isExecutorLost =
-            !task.executor.isEmpty() && (!executor || !executor->hasListing);
-        if (isExecutorLost) {
-            const Lifetime lifetime = executor ? executor->lifetime() : Lifetime();
-            m_listener.executorLost({task.executor, lifetime, LossGrounds::NotFound, {}, {it}});
-        }
+        previousRunGone(it, task.executor, task.lifetime);
         enqueue(it, task);
     }
 }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -29,8 +29,10 @@
     virtual void groupFenced(const GroupId &group, bool wasAccepted) = 0;
     /// An executor counts as lost; one of the tasks that it ran may have crashed it.
     virtual void executorLost(const ExecutorLoss &loss) = 0;
-    /// An executor answered after a time without an answer.
-    virtual void executorBack(const ExecutorId &executor, Lifetime lifetime) = 0;
+    /// An executor has answered in this lifetime.
+    virtual void executorAnswered(const ExecutorId &executor, Lifetime lifetime) = 0;
+    /// This lifetime of an executor is known to have ended.
+    virtual void executorEnded(const ExecutorId &executor, Lifetime lifetime) = 0;
 };
 
 /// Counters of one group since its claim.
@@ -120,6 +122,7 @@
         std::uint64_t nextRun = 1;
         TaskState state = TaskState::Queued;
         ExecutorId executor; // if OnExecutor; if AwaitingListing, where a previous owner started it
+        Lifetime lifetime;   // of that executor, if AwaitingListing; 0 if unknown
         bool isCancelled = false;
         bool isDropped = false; // cancelled, and to be removed without a report
         Base::TimePoint queuedAt;
@@ -192,6 +195,7 @@
     bool isCertainlyNotRunning(const ExecutorId &executor) const;
     bool isExecutorListStable() const;
     void releaseAwaitingListing();
+    void previousRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime);
     double estimateLogMs(const BatchInfo &batch) const;
     void loadChanged() { ++m_loadVersion; }
 
--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -1,14 +1,19 @@
-// Record of executors lost under tasks: merging, limits and retention.
+// Record of executors lost under tasks: proof and removal, merging, limits and retention.
 #include "executorlosses.h"
 
 #include "dispatchconstants.h"
 
+#include <base/log.h>
+
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Dispatch {
 
+using Base::LogLevel;
+
 const char *toString(LossGrounds grounds)
 {
     switch (grounds) {
@@ -19,9 +24,24 @@
     case LossGrounds::OtherLifetime:
         return "otherLifetime";
     case LossGrounds::NotFound:
+        return "notFound";
+    case LossGrounds::Draining:
         break;
     }
-    return "notFound";
+    return "draining";
+}
+
+static const char *toString(Wire::LostExecutorState state)
+{
+    switch (state) {
+    case Wire::LostExecutorState::Unproven:
+        return "unproven";
+    case Wire::LostExecutorState::Ended:
+        return "ended";
+    case Wire::LostExecutorState::Answered:
+        break;
+    }
+    return "answered";
 }
 
 ExecutorLosses::ExecutorLosses(Base::Timers &timers)
@@ -29,24 +49,67 @@
     , m_lastPrune(timers.now())
 {}
 
-Wire::LostRun ExecutorLosses::entryOf(const TaskId &task, const ExecutorLifetime &executor,
-                                      Base::TimePoint time) const
+std::uint64_t ExecutorLosses::ageMs(Base::TimePoint time) const
 {
-    const auto ageMs = static_cast<std::uint64_t>(
+    return static_cast<std::uint64_t>(
         std::max<std::int64_t>(0, Base::toMilliseconds(m_timers.now() - time)));
-    return {task.job.value(),       task.occurrence,         task.step, task.index,
-            executor.first.value(), executor.second.value(), ageMs};
 }
 
-void ExecutorLosses::insert(const TaskId &task, const ExecutorLifetime &executor,
-                            Base::TimePoint time)
+Base::TimePoint ExecutorLosses::timeAt(std::uint64_t age) const
+{
+    return m_timers.now()
+           - std::chrono::milliseconds(
+               std::min<std::uint64_t>(age, Constants::LOSS_RETENTION_MS.count()));
+}
+
+Wire::LostRun ExecutorLosses::entryOf(const TaskId &task, const ExecutorLifetime &executor,
+                                      const Loss &loss) const
+{
+    return {task.job.value(),
+            task.occurrence,
+            task.step,
+            task.index,
+            executor.first.value(),
+            executor.second.value(),
+            ageMs(loss.time),
+            static_cast<std::uint8_t>(loss.evidence)};
+}
+
+Wire::LostRuns ExecutorLosses::stateMessage(const ExecutorLifetime &executor) const
+{
+    const LostExecutor &lost = m_executors.at(executor);
+    Wire::LostRuns message;
+    message.executors.push_back({executor.first.value(), executor.second.value(),
+                                 static_cast<std::uint8_t>(lost.state), ageMs(lost.time)});
+    return message;
+}
+
+void ExecutorLosses::removeTask(const TaskId &task)
+{
+    const auto it = m_losses.find(task);
+    for (const auto &[executor, loss] : it->second)
+        m_executors.at(executor).tasks.erase(task);
+    m_losses.erase(it);
+}
+
+/// Returns false if the executor has answered since the loss.
+bool ExecutorLosses::insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss)
 {
+    const auto [lost, isNew] = m_executors.try_emplace(executor);
+    if (isNew)
+        lost->second.time = loss.time;
+    if (lost->second.state == State::Answered) {
+        if (loss.time <= lost->second.time + Constants::LOSS_ORDER_TOLERANCE_MS)
+            return false;
+        lost->second.state = State::Unproven;
+        lost->second.time = loss.time;
+    }
     if (!m_losses.contains(task) && m_losses.size() >= Constants::MAX_LOSS_RECORDS) {
         const auto oldest =
             std::min_element(m_losses.begin(), m_losses.end(), [](const auto &a, const auto &b) {
-                return a.second.begin()->second < b.second.begin()->second;
+                return a.second.begin()->second.time < b.second.begin()->second.time;
             });
-        m_losses.erase(oldest);
+        removeTask(TaskId(oldest->first));
     }
     auto &executors = m_losses[task];
     // A daemon that has only heard of the executor does not know which lifetime was lost.
@@ -55,43 +118,204 @@
     const bool isKnown =
         sameExecutor != executors.end() && sameExecutor->first.first == executor.first;
     if (executor.second.value() == 0 && isKnown)
-        return;
-    executors.erase(unknown);
-    executors.try_emplace(executor, time);
+        return true;
+    if (executor.second.value() > 0 && executors.erase(unknown) > 0)
+        m_executors.at(unknown).tasks.erase(task);
+    Loss &known = executors.try_emplace(executor, loss).first->second;
+    known.evidence = std::max(known.evidence, loss.evidence);
+    lost->second.tasks.insert(task);
+    return true;
 }
 
-Wire::LostRuns ExecutorLosses::add(const ExecutorId &executor, Lifetime lifetime,
-                                   const std::vector<TaskId> &tasks)
+static Wire::LostRunEvidence evidenceOf(LossGrounds grounds, bool hadStarted)
 {
-    Wire::LostRuns message;
+    if (grounds == LossGrounds::NoAnswer)
+        return Wire::LostRunEvidence::Silence;
+    return hadStarted ? Wire::LostRunEvidence::Started : Wire::LostRunEvidence::Disconnected;
+}
+
+ExecutorLosses::Message ExecutorLosses::add(const ExecutorLoss &loss)
+{
+    if (loss.grounds == LossGrounds::Draining)
+        return std::nullopt;
+    const ExecutorLifetime executor{loss.executor, loss.lifetime};
     const Base::TimePoint now = m_timers.now();
-    for (const TaskId &it : tasks) {
-        insert(it, {executor, lifetime}, now);
-        message.runs.push_back(entryOf(it, {executor, lifetime}, now));
+    // Not overruled by an earlier answer, however recent.
+    if (loss.grounds == LossGrounds::OtherLifetime) {
+        LostExecutor &lost =
+            m_executors.try_emplace(executor, LostExecutor{State::Unproven, now, {}, {}, {}})
+                .first->second;
+        if (lost.state == State::Answered)
+            lost.state = State::Unproven;
+    }
+    Wire::LostRuns message;
+    for (const LostTask &it : loss.tasks) {
+        const Loss entry{now, evidenceOf(loss.grounds, it.hadStarted)};
+        if (insert(it.id, executor, entry))
+            message.runs.push_back(entryOf(it.id, executor, entry));
+    }
+    LostExecutor &lost = m_executors[executor];
+    if (!loss.address.empty()) {
+        lost.address = loss.address;
+        lost.service = loss.service;
+    }
+    if (loss.grounds == LossGrounds::OtherLifetime)
+        prove(executor, "otherLifetime");
+    message.executors = stateMessage(executor).executors;
+    return message;
+}
+
+/// Removes the losses of this lifetime up to an answer. Returns false if there was nothing to
+/// remove. That a lifetime has ended is final: a later answer was sent before.
+bool ExecutorLosses::remove(const ExecutorLifetime &executor, Base::TimePoint answered)
+{
+    LostExecutor &lost = m_executors[executor];
+    if (lost.state == State::Ended || (lost.state == State::Answered && lost.time >= answered))
+        return false;
+    const bool wasLost = lost.state != State::Answered;
+    std::size_t tasks = 0;
+    for (const TaskId &it : std::set<TaskId>(lost.tasks)) {
+        Losses &losses = m_losses.at(it);
+        if (losses.at(executor).time > answered + Constants::LOSS_ORDER_TOLERANCE_MS)
+            continue;
+        ++tasks;
+        lost.tasks.erase(it);
+        losses.erase(executor);
+        if (losses.empty())
+            m_losses.erase(it);
+    }
+    if (tasks > 0) {
+        ++m_removedCount;
+        Base::log(LogLevel::Info, "lossRemoved",
+                  {{"executor", executor.first}, {"lifetime", executor.second}, {"tasks", tasks}});
+    }
+    if (!lost.tasks.empty())
+        return false; // lost again since
+    lost.state = State::Answered;
+    lost.time = answered;
+    return wasLost;
+}
+
+ExecutorLosses::Message ExecutorLosses::answered(const ExecutorId &executor, Lifetime lifetime)
+{
+    if (m_executors.empty())
+        return std::nullopt;
+    Message message;
+    // A loss in an unknown lifetime may have been one in this lifetime.
+    for (const ExecutorLifetime &it :
+         {ExecutorLifetime(executor, lifetime), ExecutorLifetime(executor, Lifetime())}) {
+        const auto lost = m_executors.find(it);
+        if (lost == m_executors.end() || lost->second.state == State::Answered
+            || !remove(it, m_timers.now())) {
+            continue;
+        }
+        if (!message)
+            message.emplace();
+        message->executors.push_back(stateMessage(it).executors.front());
     }
     return message;
 }
 
+/// Returns false if the loss was not recorded or already proven.
+bool ExecutorLosses::prove(const ExecutorLifetime &executor, const char *proof)
+{
+    const auto it = m_executors.find(executor);
+    if (it == m_executors.end() || it->second.state != State::Unproven)
+        return false;
+    it->second.state = State::Ended;
+    Base::log(LogLevel::Info, "lossProven",
+              {{"executor", executor.first},
+               {"lifetime", executor.second},
+               {"proof", proof},
+               {"age", m_timers.now() - it->second.time}});
+    it->second.time = m_timers.now();
+    return true;
+}
+
+ExecutorLosses::Message ExecutorLosses::ended(const ExecutorId &executor, Lifetime lifetime)
+{
+    const ExecutorLifetime key{executor, lifetime};
+    if (!prove(key, "otherLifetime"))
+        return std::nullopt;
+    return stateMessage(key);
+}
+
+void ExecutorLosses::setExecutors(const std::vector<ExecutorInfo> &executors)
+{
+    std::vector<ExecutorLifetime> unproven;
+    for (const auto &[executor, lost] : m_executors) {
+        if (lost.state == State::Unproven)
+            unproven.push_back(executor);
+    }
+    if (unproven.empty())
+        return;
+    std::map<ExecutorId, const ExecutorInfo *> byId;
+    std::map<std::pair<std::string, ServiceId>, Lifetime> latestAt; // by address and service
+    for (const ExecutorInfo &it : executors) {
+        byId[it.id] = &it;
+        Lifetime &latest = latestAt[{it.address, it.service}];
+        latest = std::max(latest, it.lifetime);
+    }
+    for (const ExecutorLifetime &it : unproven) {
+        LostExecutor &lost = m_executors.at(it);
+        const auto registered = byId.find(it.first);
+        if (registered != byId.end()) {
+            lost.address = registered->second->address;
+            lost.service = registered->second->service;
+            if (it.second.value() > 0 && registered->second->lifetime > it.second)
+                prove(it, "registeredAgain");
+            continue;
+        }
+        // While it is registered, an entry with its address may be of another writer.
+        const auto latest = latestAt.find({lost.address, lost.service});
+        if (latest != latestAt.end() && it.second.value() > 0 && latest->second > it.second)
+            prove(it, "addressReused");
+    }
+}
+
 void ExecutorLosses::merge(const Wire::LostRuns &message)
 {
-    const Base::TimePoint now = m_timers.now();
+    // The states first: an executor that has answered keeps its earlier losses out.
+    for (const Wire::LostExecutor &it : message.executors) {
+        const ExecutorLifetime executor{ExecutorId(it.executor), Lifetime(it.lifetime)};
+        if (it.state == static_cast<std::uint8_t>(State::Answered))
+            remove(executor, timeAt(it.ageMs));
+    }
     for (const Wire::LostRun &it : message.runs) {
-        const auto age = std::chrono::milliseconds(
-            std::min<std::uint64_t>(it.ageMs, Constants::LOSS_RETENTION_MS.count()));
+        const auto evidence = static_cast<Wire::LostRunEvidence>(
+            std::min(it.evidence, static_cast<std::uint8_t>(Wire::LostRunEvidence::Started)));
         insert({JobId(it.job), it.occurrence, it.step, it.index},
-               {ExecutorId(it.executor), Lifetime(it.lifetime)}, now - age);
+               {ExecutorId(it.executor), Lifetime(it.lifetime)}, {timeAt(it.ageMs), evidence});
+    }
+    for (const Wire::LostExecutor &it : message.executors) {
+        const ExecutorLifetime executor{ExecutorId(it.executor), Lifetime(it.lifetime)};
+        if (it.state != static_cast<std::uint8_t>(State::Ended))
+            continue;
+        m_executors.try_emplace(executor,
+                                LostExecutor{State::Unproven, timeAt(it.ageMs), {}, {}, {}});
+        if (prove(executor, "reported"))
+            m_executors.at(executor).time = timeAt(it.ageMs);
     }
 }
 
 std::vector<Wire::LostRuns> ExecutorLosses::messages() const
 {
     std::vector<Wire::LostRuns> list;
-    for (const auto &[task, executors] : m_losses) {
-        for (const auto &[executor, time] : executors) {
-            if (list.empty() || list.back().runs.size() >= Constants::MAX_LOSSES_PER_MESSAGE)
-                list.emplace_back();
-            list.back().runs.push_back(entryOf(task, executor, time));
+    const auto next = [&list]() -> Wire::LostRuns & {
+        if (list.empty()
+            || list.back().runs.size() + list.back().executors.size()
+                   >= Constants::MAX_LOSSES_PER_MESSAGE) {
+            list.emplace_back();
         }
+        return list.back();
+    };
+    for (const auto &[executor, lost] : m_executors) {
+        if (lost.state != State::Unproven)
+            next().executors.push_back(stateMessage(executor).executors.front());
+    }
+    for (const auto &[task, executors] : m_losses) {
+        for (const auto &[executor, loss] : executors)
+            next().runs.push_back(entryOf(task, executor, loss));
     }
     return list;
 }
@@ -102,27 +326,75 @@
     return it == m_losses.end() ? 0 : it->second.size();
 }
 
+bool ExecutorLosses::hasEnded(const ExecutorLifetime &executor) const
+{
+    const auto it = m_executors.find(executor);
+    return it != m_executors.end() && it->second.state == State::Ended;
+}
+
+bool ExecutorLosses::isProven(const Losses::value_type &loss) const
+{
+    return loss.second.evidence == Wire::LostRunEvidence::Started && hasEnded(loss.first);
+}
+
+bool ExecutorLosses::isSuspect(const TaskId &task) const
+{
+    const auto it = m_losses.find(task);
+    if (it == m_losses.end())
+        return false;
+    return it->second.size() > 1
+           || it->second.begin()->second.evidence != Wire::LostRunEvidence::Silence
+           || hasEnded(it->second.begin()->first);
+}
+
 bool ExecutorLosses::isGivenUp(const TaskId &task) const
 {
-    return count(task) >= Constants::MAX_EXECUTOR_LOSSES;
+    const auto it = m_losses.find(task);
+    if (it == m_losses.end() || it->second.size() < Constants::MAX_EXECUTOR_LOSSES)
+        return false;
+    const auto proven = std::count_if(it->second.begin(), it->second.end(),
+                                      [this](const auto &loss) { return isProven(loss); });
+    return static_cast<std::size_t>(proven) >= Constants::MAX_EXECUTOR_LOSSES;
 }
 
 bool ExecutorLosses::hasGivenUpTask(const JobId &job) const
 {
     for (auto it = m_losses.lower_bound({job, 0, 0, 0});
          it != m_losses.end() && it->first.job == job; ++it) {
-        if (it->second.size() >= Constants::MAX_EXECUTOR_LOSSES)
+        if (isGivenUp(it->first))
             return true;
     }
     return false;
 }
 
-std::size_t ExecutorLosses::tasksLostWith(const ExecutorId &executor, Lifetime lifetime) const
+Base::Duration ExecutorLosses::startDelay(const TaskId &task) const
+{
+    const auto it = m_losses.find(task);
+    if (it == m_losses.end() || it->second.size() < Constants::MAX_EXECUTOR_LOSSES)
+        return Base::Duration(0);
+    std::optional<Base::TimePoint> last; // of the losses that are not proven
+    for (const auto &loss : it->second) {
+        if (!isProven(loss))
+            last = std::max(last, std::optional(loss.second.time));
+    }
+    if (!last)
+        return Base::Duration(0);
+    // Without proof, only the number of starts limits what a task can crash.
+    const std::size_t extra = it->second.size() - Constants::MAX_EXECUTOR_LOSSES;
+    const Base::Duration wait = it->second.size() >= Constants::MAX_UNPROVEN_LOSSES
+                                    ? Base::Duration(Constants::LOSS_RETENTION_MS)
+                                    : Constants::LOSS_PROOF_WAIT_MS * (1U << extra);
+    return std::max(Base::Duration(0), *last + wait - m_timers.now());
+}
+
+Base::Duration ExecutorLosses::startDelay(const JobId &job) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_losses.begin(), m_losses.end(), [&](const auto &it) {
-            return it.second.contains({executor, lifetime});
-        }));
+    Base::Duration delay{0};
+    for (auto it = m_losses.lower_bound({job, 0, 0, 0});
+         it != m_losses.end() && it->first.job == job; ++it) {
+        delay = std::max(delay, startDelay(it->first));
+    }
+    return delay;
 }
 
 std::string ExecutorLosses::describe(const TaskId &task) const
@@ -131,10 +403,11 @@
     const auto it = m_losses.find(task);
     if (it == m_losses.end())
         return text;
-    for (const auto &[executor, time] : it->second) {
-        const auto ageMs = Base::toMilliseconds(m_timers.now() - time);
-        text += fmt::format("{}{}@{}/{}ms", text.empty() ? "" : ",", executor.first.value(),
-                            executor.second.value(), ageMs);
+    for (const auto &[executor, loss] : it->second) {
+        const auto lost = m_executors.find(executor);
+        const State state = lost == m_executors.end() ? State::Unproven : lost->second.state;
+        text += fmt::format("{}{}@{}/{}/{}ms", text.empty() ? "" : ",", executor.first.value(),
+                            executor.second.value(), toString(state), ageMs(loss.time));
     }
     return text;
 }
@@ -145,12 +418,19 @@
     if (now - m_lastPrune < Constants::LOSS_PRUNE_INTERVAL_MS)
         return;
     m_lastPrune = now;
-    for (auto &[task, executors] : m_losses) {
-        std::erase_if(executors, [now](const auto &it) {
-            return now - it.second > Constants::LOSS_RETENTION_MS;
+    std::vector<TaskId> expired;
+    for (auto &[task, losses] : m_losses) {
+        const bool isRecent = std::any_of(losses.begin(), losses.end(), [now](const auto &it) {
+            return now - it.second.time <= Constants::LOSS_RETENTION_MS;
         });
+        if (!isRecent)
+            expired.push_back(task);
     }
-    std::erase_if(m_losses, [](const auto &it) { return it.second.empty(); });
+    for (const TaskId &it : expired)
+        removeTask(it);
+    std::erase_if(m_executors, [now](const auto &it) {
+        return it.second.tasks.empty() && now - it.second.time > Constants::LOSS_RETENTION_MS;
+    });
 }
 
 } // namespace Dispatch
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -1,7 +1,7 @@
 // Which executors were lost while they ran a task. A task may crash each executor that starts it,
-// so the record decides whether the task is started again, and whether beside other tasks. All
-// daemons hold the same record: each sends what it adds to the others, and all of it to a daemon
-// that connects. The record thus outlives owners of groups and coordinators of jobs.
+// so the record decides whether the task is started again, when, and whether beside other tasks.
+// All daemons hold the same record: each sends what it adds to the others, and all of it to a
+// daemon that connects. The record thus outlives owners of groups and coordinators of jobs.
 #pragma once
 
 #include "dispatchtypes.h"
@@ -9,6 +9,8 @@
 #include <wire/messages.h>
 
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace Dispatch {
@@ -19,9 +21,16 @@
     Disconnected,  ///< The same, after it had closed, reset or refused a connection.
     OtherLifetime, ///< Another lifetime of it is known.
     NotFound,      ///< A new owner did not find it when the leases of its runs had expired.
+    Draining,      ///< It had announced that it leaves.
 };
 const char *toString(LossGrounds grounds);
 
+struct LostTask
+{
+    TaskId id;
+    bool hadStarted = false; // the executor had confirmed the start
+};
+
 /// The loss of one lifetime of an executor.
 struct ExecutorLoss
 {
@@ -29,18 +38,33 @@
     Lifetime lifetime; // 0 if unknown
     LossGrounds grounds = LossGrounds::NoAnswer;
     Base::Duration silence{0}; // since the first missed answer
-    std::vector<TaskId> tasks; // of which it had runs
+    std::string address;       // empty if unknown
+    ServiceId service;
+    std::vector<LostTask> tasks; // of which it had runs
 };
 
+/// A loss is evidence against its tasks if the executor has probably crashed. It is proven, for the
+/// tasks that had started, once the lifetime is known to have ended, and removed if the executor
+/// answers again in the same lifetime. An executor that is only silent may as well be unreachable:
+/// its loss is never proven, since the run may have ended with its lease before the executor did.
 class ExecutorLosses
 {
 public:
+    using Message = std::optional<Wire::LostRuns>;
+
     explicit ExecutorLosses(Base::Timers &timers);
 
-    /// Records that a lifetime of an executor ended with runs of \a tasks, and returns the message
-    /// that tells other daemons.
-    Wire::LostRuns add(const ExecutorId &executor, Lifetime lifetime,
-                       const std::vector<TaskId> &tasks);
+    /// Records the loss. Returns the message that tells other daemons; none if the executor had
+    /// announced that it leaves.
+    Message add(const ExecutorLoss &loss);
+    /// The executor has answered in this lifetime. Returns a message if a loss was removed.
+    Message answered(const ExecutorId &executor, Lifetime lifetime);
+    /// This lifetime of the executor is known to have ended. Returns a message if that proves a
+    /// loss.
+    Message ended(const ExecutorId &executor, Lifetime lifetime);
+    /// Looks for proof in the registered executors: a later lifetime, or, once its registration is
+    /// gone, a later executor of the same service at the same address.
+    void setExecutors(const std::vector<ExecutorInfo> &executors);
     /// Adds what another daemon has recorded. Entries that are known change nothing.
     void merge(const Wire::LostRuns &message);
     /// The whole record, in messages of limited size.
@@ -48,14 +72,19 @@
 
     /// Number of lifetimes of executors that were lost under the task.
     std::size_t count(const TaskId &task) const;
-    /// The task may have crashed an executor.
-    bool isSuspect(const TaskId &task) const { return count(task) > 0; }
+    /// The task may have crashed an executor, and has to run alone.
+    bool isSuspect(const TaskId &task) const;
     /// The task must not be started any more.
     bool isGivenUp(const TaskId &task) const;
     bool hasGivenUpTask(const JobId &job) const;
+    /// Time until the task may be started. After several losses it waits for the proof, and longer
+    /// after each further one.
+    Base::Duration startDelay(const TaskId &task) const;
+    /// The longest delay of a task of the job.
+    Base::Duration startDelay(const JobId &job) const;
     std::size_t taskCount() const { return m_losses.size(); }
-    /// Number of tasks under which this lifetime of the executor is recorded as lost.
-    std::size_t tasksLostWith(const ExecutorId &executor, Lifetime lifetime) const;
+    /// Losses that were removed since the executor answered again.
+    std::uint64_t removedCount() const { return m_removedCount; }
     /// The executors lost under the task, for logs.
     std::string describe(const TaskId &task) const;
 
@@ -64,14 +93,41 @@
 
 private:
     using ExecutorLifetime = std::pair<ExecutorId, Lifetime>;
+    using State = Wire::LostExecutorState;
+
+    struct LostExecutor
+    {
+        State state = State::Unproven;
+        Base::TimePoint time; // of the loss, or of the last change of the state
+        std::string address;  // empty if unknown
+        ServiceId service;
+        std::set<TaskId> tasks; // those in m_losses
+    };
+
+    struct Loss
+    {
+        Base::TimePoint time; // on the clock of this daemon
+        Wire::LostRunEvidence evidence = Wire::LostRunEvidence::Silence;
+    };
+    using Losses = std::map<ExecutorLifetime, Loss>;
 
-    void insert(const TaskId &task, const ExecutorLifetime &executor, Base::TimePoint time);
+    bool insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss);
+    bool remove(const ExecutorLifetime &executor, Base::TimePoint answered);
+    bool prove(const ExecutorLifetime &executor, const char *proof);
+    void removeTask(const TaskId &task);
+    bool hasEnded(const ExecutorLifetime &executor) const;
+    bool isProven(const Losses::value_type &loss) const;
     Wire::LostRun entryOf(const TaskId &task, const ExecutorLifetime &executor,
-                          Base::TimePoint time) const;
+                          const Loss &loss) const;
+    Wire::LostRuns stateMessage(const ExecutorLifetime &executor) const;
+    std::uint64_t ageMs(Base::TimePoint time) const;
+    Base::TimePoint timeAt(std::uint64_t age) const;
 
     Base::Timers &m_timers;
-    // The time is that of the loss, on the clock of this daemon.
-    std::map<TaskId, std::map<ExecutorLifetime, Base::TimePoint>> m_losses;
+    std::map<TaskId, Losses> m_losses;
+    // Those in m_losses, and those removed from it, of whose loss a late message may still tell.
+    std::map<ExecutorLifetime, LostExecutor> m_executors;
+    std::uint64_t m_removedCount = 0;
     Base::TimePoint m_lastPrune;
 };
 
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -112,8 +112,8 @@
 
 bool ExecutorState::isUsable(Base::TimePoint now) const
 {
-    return hasListing && isRegistered && !m_info.draining && missedAnswers == 0 && !unconfirmedSince
-           && now >= m_unusableUntil;
+    return hasListing && isRegistered && !m_info.draining && !m_info.isFromPreviousOwner
+           && missedAnswers == 0 && !unconfirmedSince && now >= m_unusableUntil;
 }
 
 } // namespace Dispatch
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -76,6 +76,18 @@
         callback({JobOutcome::Rejected, "draining", std::chrono::seconds(1)});
         return;
     }
+    const Base::Duration startDelay = m_losses.startDelay(id);
+    if (startDelay.count() > 0 && startDelay + chain > usefulTime) {
+        ++m_counters.rejected;
+        Base::log(LogLevel::Info, "jobRejected",
+                  {{"job", id},
+                   {"queue", policy.queue},
+                   {"reason", "executorsLost"},
+                   {"startDelay", startDelay},
+                   {"useful", usefulTime}});
+        callback({JobOutcome::Rejected, "executorsLost", startDelay});
+        return;
+    }
     // Estimates can be off by half or more, so a job is not rejected for its estimate alone while
     // there is no queue.
     const bool isQueueTooLong = wait && wait->count() > 0 && *wait + chain > usefulTime
@@ -235,8 +247,8 @@
     batch.maxPerExecutor = spec.maxPerExecutor;
     batch.returnsUnplaced = kind == BatchKind::Immediate;
     for (const std::uint32_t it : indices)
-        batch.tasks.push_back(
-            {it, job.steps[step][it].minRun, mayHaveStarted, job.steps[step][it].executor});
+        batch.tasks.push_back({it, job.steps[step][it].minRun, mayHaveStarted,
+                               job.steps[step][it].executor, job.steps[step][it].lifetime});
     if (!m_sender.sendToOwner(group, batch))
         return false;
     Base::log(LogLevel::Debug, "batchSent",
@@ -318,6 +330,7 @@
     switch (state) {
     case TaskReportState::Started:
         task.executor = report.executor;
+        task.lifetime = report.lifetime;
         return;
     case TaskReportState::Returned:
         ++task.returns;
@@ -393,7 +406,7 @@
         return;
     }
     const Base::Duration estimate = job.request.spec.steps[report.step].estimate;
-    if (losses > 0 && m_timers.now() + estimate > job.usefulUntil)
+    if (losses > 0 && m_timers.now() + m_losses.startDelay(task) + estimate > job.usefulUntil)
         finish(it, {JobOutcome::TimedOut, "executorLost", {}});
 }
 
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -105,7 +105,8 @@
         std::uint32_t refusals = 0; // starts that an executor refused for their order
         std::uint32_t returns = 0;  // by groups that could not start it at once
         std::string executor; // on which its run was reported to have started; empty after a claim
-        bool needsClaim = false; // AtGroup, and the claim has not been sent to the owner yet
+        std::uint64_t lifetime = 0; // of that executor
+        bool needsClaim = false;    // AtGroup, and the claim has not been sent to the owner yet
     };
 
     struct Job
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -219,8 +219,9 @@
     std::uint64_t minRun = 1;    // the lowest run number that may be used
     bool mayHaveStarted = false; // a previous owner of the group may have started it
     std::string executor;        // where it was last reported as started; may be empty
+    std::uint64_t lifetime = 0;  // of that executor; 0 if unknown
 
-    MSGPACK_DEFINE(index, minRun, mayHaveStarted, executor)
+    MSGPACK_DEFINE(index, minRun, mayHaveStarted, executor, lifetime)
 };
 
 /// Tasks of one step, from the coordinator of the job to the owner of a group.
@@ -270,8 +271,9 @@
     std::uint64_t run = 0;
     std::uint8_t state = 0; // a TaskReportState
     std::string executor;
+    std::uint64_t lifetime = 0; // of the executor; 0 if unknown
 
-    MSGPACK_DEFINE(occurrence, step, index, run, state, executor)
+    MSGPACK_DEFINE(occurrence, step, index, run, state, executor, lifetime)
 };
 
 /// State changes of tasks of one job, from the owner of a group to the coordinator of the job.
@@ -301,10 +303,11 @@
     std::string address;
     std::string service;
     std::uint64_t lifetime = 0;
+    bool draining = false;
 
     bool operator==(const GroupMember &) const = default;
 
-    MSGPACK_DEFINE(id, address, service, lifetime)
+    MSGPACK_DEFINE(id, address, service, lifetime, draining)
 };
 
 /// The executors of a group as its owner knows them, for the next owner.
@@ -319,6 +322,13 @@
     MSGPACK_DEFINE(group, token, members)
 };
 
+/// What the loss of a run says about the task, in ascending order.
+enum class LostRunEvidence : std::uint8_t {
+    Silence = 0,      // the executor did not answer; it may be unreachable
+    Disconnected = 1, // it has probably crashed, perhaps before the run had started
+    Started = 2,      // it has probably crashed while the run was active
+};
+
 /// A run that was lost together with its executor.
 struct LostRun
 {
@@ -329,16 +339,35 @@
     std::string executor;
     std::uint64_t lifetime = 0; // of the executor; 0 if unknown
     std::uint64_t ageMs = 0;    // time since the loss
+    std::uint8_t evidence = 0;  // a LostRunEvidence
+
+    MSGPACK_DEFINE(job, occurrence, step, index, executor, lifetime, ageMs, evidence)
+};
+
+/// What is known of a lifetime of an executor since runs were lost with it.
+enum class LostExecutorState : std::uint8_t {
+    Unproven = 0, // it may have ended, or the executor may be unreachable
+    Ended = 1,
+    Answered = 2, // the executor has answered in it since
+};
+
+struct LostExecutor
+{
+    std::string executor;
+    std::uint64_t lifetime = 0; // 0 if unknown
+    std::uint8_t state = 0;     // a LostExecutorState
+    std::uint64_t ageMs = 0;    // time since the loss, or since the last change of the state
 
-    MSGPACK_DEFINE(job, occurrence, step, index, executor, lifetime, ageMs)
+    MSGPACK_DEFINE(executor, lifetime, state, ageMs)
 };
 
 /// Runs that the sender knows to have been lost with their executors.
 struct LostRuns
 {
     std::vector<LostRun> runs;
+    std::vector<LostExecutor> executors; // those that are not listed are unproven
 
-    MSGPACK_DEFINE(runs)
+    MSGPACK_DEFINE(runs, executors)
 };
 
 /// The index of an alternative is its type number on the wire: append only.
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -47,9 +47,9 @@
         [this] { return m_node->jobs().counters().cancelled; });
     add("endivepath_suspect_tasks", "Tasks under which executors were lost.",
         [this] { return m_node->losses().taskCount(); });
-    add("endivepath_contradicted_losses",
-        "Executors that answered in a lifetime in which they are recorded as lost.",
-        [this] { return m_node->contradictedLosses(); });
+    add("endivepath_removed_losses",
+        "Recorded losses of executors that answered again in the same lifetime.",
+        [this] { return m_node->losses().removedCount(); });
     const auto sum = [this](auto member) {
         return [this, member] {
             double n = 0;
--- a/tests/auto/dispatch/dispatchcluster.h
+++ b/tests/auto/dispatch/dispatchcluster.h
@@ -48,6 +48,8 @@
 class DispatchCluster
 {
 public:
+    static constexpr std::uint32_t MAX_ATTEMPTS = 3;
+
     DispatchCluster()
         : network(clock)
         , executors(clock)
@@ -171,7 +173,7 @@
         request.policy.queue = QueueId("queue");
         request.policy.service = ServiceId("service");
         request.policy.priority = priority;
-        request.policy.maxAttempts = 3;
+        request.policy.maxAttempts = MAX_ATTEMPTS;
         request.policy.stretch = 1.6;
         request.policy.targetCompletion = 60ms;
         request.timeLeft = timeLeft;
@@ -186,6 +188,10 @@
             job.outcome = result.outcome;
             if (job.answers > 1)
                 executors.violate("answered twice: " + id);
+            if (result.outcome == JobOutcome::Failed
+                && !executors.mayFail(JobId(id), MAX_ATTEMPTS)) {
+                executors.violate("failed without a cause: " + id);
+            }
             if (result.outcome == JobOutcome::Rejected) {
                 if (!hadStarted && executors.started.contains(JobId(id)))
                     executors.violate("rejected, though started: " + id);
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -94,13 +94,20 @@
     {
         Executor &executor = at(id);
         executor.isUp = false;
-        for (const auto &[task, run] : executor.runs)
+        for (const auto &[task, run] : executor.runs) {
             m_running.erase(run.id);
-        executor.runs.clear();
-        for (const auto &[daemon, breakHold] : std::exchange(executor.breakHold, {})) {
-            if (isCrashNoticed)
-                m_clock.schedule(1ms, breakHold);
+            crashedUnder[task].insert({id, executor.info.lifetime});
         }
+        executor.runs.clear();
+        if (isCrashNoticed)
+            breakConnections(id);
+    }
+
+    /// Resets the connections of the executor on which a hold waits.
+    void breakConnections(const ExecutorId &id)
+    {
+        for (const auto &[daemon, breakHold] : std::exchange(at(id).breakHold, {}))
+            m_clock.schedule(1ms, breakHold);
     }
 
     /// Restarts the executor under the same id, with its state lost.
@@ -141,6 +148,20 @@
         return Base::toMilliseconds(m_clock.now().time_since_epoch() + executor.clockOffset);
     }
 
+    /// Whether a task of the job has failed \a maxAttempts times, or two executors have crashed
+    /// under it.
+    bool mayFail(const JobId &job, std::uint32_t maxAttempts) const
+    {
+        const bool hasFailed =
+            std::any_of(failedRuns.begin(), failedRuns.end(), [&](const auto &it) {
+                return it.first.job == job && it.second >= maxAttempts;
+            });
+        return hasFailed
+               || std::any_of(crashedUnder.begin(), crashedUnder.end(), [&](const auto &it) {
+                      return it.first.job == job && it.second.size() >= 2;
+                  });
+    }
+
     void violate(const std::string &what)
     {
         if (violation.empty())
@@ -192,6 +213,8 @@
         executor.refusedUpTo[task] = std::max(executor.refusedUpTo[task], number);
         executor.ended.push_back({EndSequence(++executor.lastEnd), task, number, end});
         ++endCounts[end];
+        if (end == RunEnd::Failed)
+            ++failedRuns[task];
         for (auto &[seen, answer] : std::exchange(executor.waitingHolds, {}))
             answer();
     }
@@ -336,6 +359,10 @@
     int malformedCount = 0; // refused for that reason
     /// Executors that crashed under each task.
     std::map<TaskId, std::set<std::pair<ExecutorId, Lifetime>>> crashedBy;
+    /// Executors that crashed for any cause while they ran each task.
+    std::map<TaskId, std::set<std::pair<ExecutorId, Lifetime>>> crashedUnder;
+    /// Runs of each task that ended as failed.
+    std::map<TaskId, std::uint32_t> failedRuns;
     /// Starts of each task after BUDGET_CRASHES executors had crashed under it.
     std::map<TaskId, int> startsBeyondBudget;
     std::set<JobId> started;
@@ -411,13 +438,20 @@
                          it.breakHold[m_daemon] = [this, answer] {
                              if (m_timers)
                                  m_timers->schedule(Base::Duration(0),
-                                                    [answer] { (*answer)(HoldResult()); });
+                                                    [answer] { (*answer)(brokenHold()); });
                          };
                          m_executors.m_clock.schedule(order.wait, once);
                      });
     }
 
 private:
+    static HoldResult brokenHold()
+    {
+        HoldResult result;
+        result.order.isDisconnected = true;
+        return result;
+    }
+
     template<class Result, class Callback, class Action>
     void send(const ExecutorInfo &executor, Base::Duration timeout, Callback callback,
               Action action)
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -344,12 +344,22 @@
     BOOST_TEST((result->outcome == JobOutcome::TimedOut));
 }
 
+static ExecutorLoss provenLoss(Lifetime lifetime)
+{
+    ExecutorLoss loss;
+    loss.executor = ExecutorId("x");
+    loss.lifetime = lifetime;
+    loss.grounds = LossGrounds::OtherLifetime;
+    loss.tasks = {{{JobId("job"), 0, 0, 0}, true}};
+    return loss;
+}
+
 // The owner tells of the losses before it reports the run, so the coordinator need not ask again.
 BOOST_FIXTURE_TEST_CASE(jobEndsWithTheLastLossThatIsAllowed, WaitingJob)
 {
     report(1, Wire::TaskReportState::Started);
     for (std::size_t i = 0; i < Constants::MAX_EXECUTOR_LOSSES; ++i)
-        losses.add(ExecutorId("x"), Lifetime(i + 1), {{JobId("job"), 0, 0, 0}});
+        losses.add(provenLoss(Lifetime(i + 1)));
     report(1, Wire::TaskReportState::Lost);
     BOOST_REQUIRE(result.has_value());
     BOOST_TEST((result->outcome == JobOutcome::Failed));
@@ -361,7 +371,7 @@
 {
     BOOST_TEST(sender.batches.back().returnsUnplaced);
     report(1, Wire::TaskReportState::Started);
-    losses.add(ExecutorId("x"), Lifetime(1), {{JobId("job"), 0, 0, 0}});
+    losses.add(provenLoss(Lifetime(1)));
     report(1, Wire::TaskReportState::Lost);
     BOOST_REQUIRE(sender.batches.size() == 2U);
     BOOST_TEST(!sender.batches.back().returnsUnplaced);
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -21,10 +21,14 @@
 {
 public:
     enum class Tasks { Harmless, SomeFatal };
+    /// Executors that no daemon reaches, in addition to the usual faults.
+    enum class Executors { Usual, OftenUnreachable };
 
-    explicit Schedule(std::uint64_t seed, Tasks tasks = Tasks::Harmless)
+    explicit Schedule(std::uint64_t seed, Tasks tasks = Tasks::Harmless,
+                      Executors executors = Executors::Usual)
         : m_random(seed)
         , m_hasFatalTasks(tasks == Tasks::SomeFatal)
+        , m_isOftenUnreachable(executors == Executors::OftenUnreachable)
     {
         if (m_hasFatalTasks) {
             m_cluster.executors.isCrashNoticed = true;
@@ -136,10 +140,22 @@
         return delivery;
     }
 
+    void partitionExecutor(Fault &fault, const ExecutorId &executor)
+    {
+        if (draw(2) == 0)
+            m_cluster.executors.breakConnections(executor);
+        m_cluster.setExecutorPartitioned(executor, true);
+        fault.end = [this, executor] { m_cluster.setExecutorPartitioned(executor, false); };
+    }
+
     void begin(Fault &fault)
     {
         const std::string daemon = pickDaemon();
         const ExecutorId executor = pickExecutor();
+        if (m_isOftenUnreachable && draw(2) == 0) {
+            partitionExecutor(fault, executor);
+            return;
+        }
         switch (draw(9)) {
         case 0:
             m_cluster.kill(daemon);
@@ -294,6 +310,7 @@
     DispatchCluster m_cluster;
     Fault m_faults[3];
     const bool m_hasFatalTasks;
+    const bool m_isOftenUnreachable;
     bool m_lossyOrders = false;
     bool m_slowNetwork = false;
     bool m_isSettled = false; // all faults have ended
@@ -342,7 +359,8 @@
 }
 
 /// Runs the schedules that the environment asks for, \a runs by default.
-static void runSchedules(Schedule::Tasks tasks, std::uint64_t runs)
+static void runSchedules(Schedule::Tasks tasks, std::uint64_t runs,
+                         Schedule::Executors executors = Schedule::Executors::Usual)
 {
     runs = environmentNumber("EP_RANDOM_RUNS", runs);
     const std::uint64_t first = environmentNumber("EP_RANDOM_SEED", 1);
@@ -350,7 +368,7 @@
     std::size_t failures = 0;
     std::size_t completed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        Schedule schedule(seed, tasks);
+        Schedule schedule(seed, tasks, executors);
         const std::string violation = schedule.run();
         completed += schedule.completed();
         if (violation.empty())
@@ -374,3 +392,9 @@
 {
     runSchedules(Schedule::Tasks::SomeFatal, 150);
 }
+
+// Jobs were failed when two executors had been unreachable under a task.
+BOOST_AUTO_TEST_CASE(randomSchedulesWithUnreachableExecutors)
+{
+    runSchedules(Schedule::Tasks::SomeFatal, 100, Schedule::Executors::OftenUnreachable);
+}
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -56,7 +56,7 @@
 
 // Number of members of each message, in the order of the variant.
 static constexpr std::size_t MEMBER_COUNTS[] = {5, 6, 1, 2, 7,  4, 2, 7, 4, 5,
-                                                1, 2, 7, 5, 20, 4, 2, 3, 1};
+                                                1, 2, 7, 5, 20, 4, 2, 3, 2};
 static_assert(std::size(MEMBER_COUNTS) == std::variant_size_v<Message>);
 
 class Generator
@@ -103,10 +103,11 @@
     void set(GroupClaim &value) { setMembers<4>(value); }
     void set(ExecutorLoad &value) { setMembers<8>(value); }
     void set(QueueLoad &value) { setMembers<3>(value); }
-    void set(BatchTask &value) { setMembers<4>(value); }
-    void set(TaskReport &value) { setMembers<6>(value); }
-    void set(GroupMember &value) { setMembers<4>(value); }
-    void set(LostRun &value) { setMembers<7>(value); }
+    void set(BatchTask &value) { setMembers<5>(value); }
+    void set(TaskReport &value) { setMembers<7>(value); }
+    void set(GroupMember &value) { setMembers<5>(value); }
+    void set(LostRun &value) { setMembers<8>(value); }
+    void set(LostExecutor &value) { setMembers<4>(value); }
     template<std::size_t N, class T>
     void setMembers(T &value)
     {
@@ -142,15 +143,19 @@
 }
 static bool operator==(const BatchTask &a, const BatchTask &b)
 {
-    return fields<4>(a) == fields<4>(b);
+    return fields<5>(a) == fields<5>(b);
 }
 static bool operator==(const TaskReport &a, const TaskReport &b)
 {
-    return fields<6>(a) == fields<6>(b);
+    return fields<7>(a) == fields<7>(b);
 }
 static bool operator==(const LostRun &a, const LostRun &b)
 {
-    return fields<7>(a) == fields<7>(b);
+    return fields<8>(a) == fields<8>(b);
+}
+static bool operator==(const LostExecutor &a, const LostExecutor &b)
+{
+    return fields<4>(a) == fields<4>(b);
 }
 } // namespace Wire
 
