Dispatch: a daemon that restarted tells peers that it has not heard them

A daemon that is restarted within the silence limit of its peers never heard a peer whose connection to the process before stayed open and silent.

The time now counts from the daemon's start. A restart begins a new period of listening at the peer, which resets its connection instead of counting the daemon as lost. Connections are recorded also for peers that have not been heard, so that a new one is not reset for that statement.

--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -108,7 +108,7 @@
     if (isNew || p.isLost)
         Base::log(LogLevel::Info, "peerHeard", {{"peer", peer}, {"incarnation", incarnation}});
     const Base::TimePoint now = m_timers.now();
-    if (now - p.lastHeard > silenceLimit(p))
+    if (now - p.lastHeard > silenceLimit(p) || p.incarnation != incarnation)
         p.heardSince = now;
     p.domain = domain;
     p.incarnation = incarnation;
@@ -127,9 +127,7 @@
 
 void GroupOwnership::peerConnected(const Base::DaemonId &peer)
 {
-    const auto it = m_peers.find(peer);
-    if (it != m_peers.end())
-        it->second.lastConnect = m_timers.now();
+    m_lastConnects[peer] = m_timers.now();
 }
 
 void GroupOwnership::peerDisconnected(const Base::DaemonId &peer)
@@ -384,12 +382,12 @@
 {
     const Base::TimePoint now = m_timers.now();
     std::vector<Base::DaemonId> peers;
-    for (auto &[id, peer] : m_peers) {
+    for (const auto &[id, peer] : m_peers) {
         const Base::Duration limit = silenceLimit(peer);
-        if (!isAlive(id) || peer.heardAgo < limit || now - peer.lastConnect < limit) {
+        Base::TimePoint &lastConnect = m_lastConnects[id];
+        if (!isAlive(id) || peer.heardAgo < limit || now - lastConnect < limit)
             continue;
-        }
-        peer.lastConnect = now;
+        lastConnect = now;
         peers.push_back(id);
     }
     return peers;
@@ -437,7 +435,8 @@
     Wire::DispatchState state;
     state.draining = m_isDraining;
     const auto it = m_peers.find(peer);
-    state.heardAgoMs = it == m_peers.end() ? 0 : age(it->second.lastHeard);
+    // The connection of a peer that was never heard may date from before this daemon's start.
+    state.heardAgoMs = age(it == m_peers.end() ? m_started : it->second.lastHeard);
     state.capacity = m_capacity;
     state.intervalMs = static_cast<std::uint32_t>(Base::toMilliseconds(interval));
     state.dropCount = it == m_peers.end() ? 0 : it->second.dropped;
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -106,7 +106,6 @@
         std::uint32_t capacity = 1;
         std::uint64_t dropped = 0;       // times that its tasks were dropped here
         std::uint64_t droppedByPeer = 0; // times that it dropped this daemon's tasks
-        Base::TimePoint lastConnect;     // or reset of the connection
     };
 
     struct Claim
@@ -159,6 +158,7 @@
     // After a pause of this process it is unknown which peers were silent.
     Base::TimePoint m_detectionSuspendedUntil;
     std::map<Base::DaemonId, Peer> m_peers;
+    std::map<Base::DaemonId, Base::TimePoint> m_lastConnects; // or resets, of the connections
     std::map<GroupId, Group> m_groups;
 };
 
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -439,6 +439,50 @@
     BOOST_TEST(ownership.peersToReset().size() == 1U);
 }
 
+// The connection of a peer stayed silent after this daemon had restarted. This daemon, which had
+// never heard the peer, did not tell it so, and both owned the same groups in turn.
+BOOST_AUTO_TEST_CASE(restartedDaemonGetsANewConnection)
+{
+    TestSupport::ManualTimers timers;
+    timers.advance(1h);
+    IgnoringListener listener;
+    const Base::FailureDomainId domain("d");
+    const Base::DaemonId restarted("a");
+    const Base::DaemonId peer("b");
+    GroupOwnership ownPeer(peer, domain, timers, listener);
+    ownPeer.peerConnected(restarted);
+    ownPeer.stateReceived(restarted, domain, Base::Incarnation(1), {});
+    timers.advance(100ms);
+    GroupOwnership own(restarted, domain, timers, listener);
+    std::size_t resets = 0;
+    for (int i = 0; i < 20; ++i) {
+        timers.advance(100ms);
+        ownPeer.stateReceived(restarted, domain, Base::Incarnation(2), own.stateFor(peer, 100ms));
+        ownPeer.tick();
+        resets += ownPeer.peersToReset().size();
+        if (resets > 0)
+            break;
+    }
+    BOOST_TEST(resets == 1U);
+}
+
+// A daemon that has just connected has not been heard by a peer that started long ago.
+BOOST_AUTO_TEST_CASE(firstConnectionIsNotReset)
+{
+    TestSupport::ManualTimers timers;
+    timers.advance(1h);
+    IgnoringListener listener;
+    const Base::FailureDomainId domain("d");
+    const Base::DaemonId peer("b");
+    GroupOwnership ownPeer(peer, domain, timers, listener);
+    timers.advance(10s);
+    GroupOwnership own(Base::DaemonId("a"), domain, timers, listener);
+    own.peerConnected(peer);
+    own.stateReceived(peer, domain, Base::Incarnation(1),
+                      ownPeer.stateFor(Base::DaemonId("a"), 100ms));
+    BOOST_TEST(own.peersToReset().empty());
+}
+
 // A peer that announces a longer interval between its state messages was considered lost after a
 // limit meant for shorter ones; one that returns to the short interval must not be missed for
 // longer.
