Dispatch: the leases of runs that nobody claims are extended only briefly

Each new owner extended the leases of all runs that it found by a full second and waited 0.4 s anew for a claim. So runs of a lost coordinator outlived the 1.3 s after which their caller submits the job again, at a daemon that starts it elsewhere.

The lease of an executor without a claimed run is now extended up to 250 ms after the runs were found. With the lease of the owner before, such runs end 1.25 s after its loss at the latest. A claim extends the lease at once. The owner's own reckoning of the lease stays at full length, as one of the previous owner may be in force.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -254,6 +254,9 @@
         added.executor = executorId;
         added.nextRun = std::max(added.nextRun, run->number.value() + 1);
         report(task.coordinator, id, run->number, TaskReportState::Started, executorId);
+        // The lease of unclaimed runs is short.
+        if (!executor.isImmediateHoldPending)
+            hold(executor, true);
         return true;
     }
     return false;
@@ -453,7 +456,7 @@
     order.task = id;
     order.run = number;
     order.payload = task.batch->message.payload;
-    order.leaseEnd = executor.nextLeaseEnd(now);
+    order.leaseEnd = executor.nextLeaseEnd(now, Constants::LEASE_MS);
     order.token = m_token;
     executor.leaseSent(now);
     Base::log(LogLevel::Debug, "startSent",
@@ -631,8 +634,12 @@
     // them. An executor that does not answer gets no new lease, so that its runs certainly end
     // in time.
     if (!executor.runs().empty() && executor.missedAnswers == 0) {
-        order.leaseEnd = executor.nextLeaseEnd(now);
-        executor.leaseSent(now);
+        const Base::Duration length = executor.leaseLength(now);
+        if (length.count() > 0)
+            order.leaseEnd = executor.nextLeaseEnd(now, length);
+        // Also if the order has none: a lease of the previous owner may be in force.
+        if (length.count() > 0 || now > executor.leaseEnd())
+            executor.leaseSent(now);
         if (!isImmediate)
             order.wait = Constants::HOLD_WAIT_MS;
     }
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -39,12 +39,23 @@
     m_clockUpdated = now;
 }
 
-std::optional<ExecutorTime> ExecutorState::nextLeaseEnd(Base::TimePoint now) const
+Base::Duration ExecutorState::leaseLength(Base::TimePoint now) const
+{
+    Base::TimePoint found;
+    for (const auto &[task, run] : m_runs) {
+        if (run.isClaimed)
+            return Constants::LEASE_MS;
+        found = std::max(found, run.since);
+    }
+    return std::max(Base::Duration(0), found + Constants::UNCLAIMED_LEASE_MS - now);
+}
+
+std::optional<ExecutorTime> ExecutorState::nextLeaseEnd(Base::TimePoint now,
+                                                        Base::Duration length) const
 {
     if (!m_clock)
         return std::nullopt;
-    return *m_clock + std::chrono::duration_cast<ExecutorTime>(now - m_clockUpdated)
-           + Constants::LEASE_MS;
+    return *m_clock + std::chrono::duration_cast<ExecutorTime>(now - m_clockUpdated + length);
 }
 
 void ExecutorState::leaseSent(Base::TimePoint now)
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -59,9 +59,12 @@
 
     // Clock and lease.
     void updateClock(ExecutorTime clock, Base::TimePoint now);
-    /// End, on the executor's clock, of a lease of full length that is granted at \a now. No value
+    /// Length of the lease to be granted at \a now. 0 if none of the runs has been claimed for a
+    /// while.
+    Base::Duration leaseLength(Base::TimePoint now) const;
+    /// End, on the executor's clock, of a lease of \a length that is granted at \a now. No value
     /// until the clock is known.
-    std::optional<ExecutorTime> nextLeaseEnd(Base::TimePoint now) const;
+    std::optional<ExecutorTime> nextLeaseEnd(Base::TimePoint now, Base::Duration length) const;
     /// An order with a new lease was sent at \a now; it may or may not arrive.
     void leaseSent(Base::TimePoint now);
     /// Unless a new lease is sent, all runs started so far have ended by this time.
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -138,6 +138,33 @@
     check();
 }
 
+// Each new owner extended the leases of runs that no coordinator claimed, so that they still ran
+// when their callers submitted the jobs again, 1.3 s after the loss of the first daemons.
+BOOST_AUTO_TEST_CASE(unclaimedRunsEndBeforeTheirCallersReturn)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(4s, RunEnd::Done);
+    };
+    for (Base::Duration secondLoss = 400ms; secondLoss < 950ms; secondLoss += 50ms) {
+        const std::string id = "job" + std::to_string(Base::toMilliseconds(secondLoss));
+        submit("a1", id, 2, {6800, 64, 0}, 4s, 20s);
+        run(300ms);
+        const Base::TimePoint lost = clock.now();
+        for (const Base::Duration it : {Base::Duration(0), secondLoss}) {
+            run(lost + it - clock.now());
+            for (const auto &[name, domain] : std::map(domains))
+                kill(name);
+            run(20ms);
+            for (const auto &[name, domain] : std::map(domains))
+                startDaemon(name);
+        }
+        run(lost + 1300ms - clock.now());
+        submit("b1", id, 2, {6800, 64, 0}, 4s, 20s);
+        run(6s);
+    }
+    check();
+}
+
 BOOST_AUTO_TEST_CASE(jobsAreServedSoonAfterTheOwnerIsKilled)
 {
     const std::string owner = ownerOf("a");
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -53,11 +53,11 @@
 BOOST_AUTO_TEST_CASE(leaseEndFollowsTheExecutorsClock)
 {
     ExecutorState executor{ExecutorInfo()};
-    BOOST_TEST(!executor.nextLeaseEnd(T0).has_value());
+    BOOST_TEST(!executor.nextLeaseEnd(T0, Constants::LEASE_MS).has_value());
     executor.updateClock(ExecutorTime(5000), T0);
-    BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms)->count() == 6100);
+    BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms, Constants::LEASE_MS)->count() == 6100);
     executor.updateClock(ExecutorTime(4000), T0 + 50ms); // arrives out of order
-    BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms)->count() == 6100);
+    BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms, Constants::LEASE_MS)->count() == 6100);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
