--- a/src/libs/settings/addresses.cpp
+++ b/src/libs/settings/addresses.cpp
@@ -1,10 +1,9 @@
-// Validates addresses with inet_pton.
+// Parses addresses with inet_pton.
 #include "addresses.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
-#include <string>
 
 namespace Settings {
 
@@ -17,12 +16,13 @@
     return inet_pton(family, std::string(text).c_str(), &buf) == 1;
 }
 
-static bool isPort(std::string_view text)
+/// Returns 0 if \a text is not a port number without leading zeros.
+static std::uint16_t parsePort(std::string_view text)
 {
-    int port = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
-    return ec == std::errc() && end == text.data() + text.size() && text.front() != '0' && port > 0
-           && port <= 65535;
+    std::uint16_t port = 0;
+    const char *const end = text.data() + text.size();
+    const auto [next, ec] = std::from_chars(text.data(), end, port);
+    return ec == std::errc() && next == end && text.front() != '0' ? port : 0;
 }
 
 bool isIpAddress(std::string_view text)
@@ -35,16 +35,29 @@
     return text == "0.0.0.0" || text == "::";
 }
 
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos || !isAddress(AF_INET, text.substr(0, colon)))
+        return std::nullopt;
+    const std::uint16_t port = parsePort(text.substr(colon + 1));
+    if (port == 0)
+        return std::nullopt;
+    return Endpoint{std::string(text.substr(0, colon)), port};
+}
+
+std::string toString(const Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
 bool isHttpUrl(std::string_view text)
 {
     static constexpr std::string_view SCHEME = "http://";
     if (!text.starts_with(SCHEME))
         return false;
     text.remove_prefix(SCHEME.size());
-    const std::size_t colon = text.find(':');
-    if (colon == std::string_view::npos)
-        return false;
-    return isAddress(AF_INET, text.substr(0, colon)) && isPort(text.substr(colon + 1));
+    return parseEndpoint(text).has_value();
 }
 
 } // namespace Settings
--- a/src/libs/settings/daemonsettings.h
+++ b/src/libs/settings/daemonsettings.h
@@ -1,6 +1,7 @@
 // Settings of one endivepathd.
 #pragma once
 
+#include "addresses.h"
 #include "faultlist.h"
 
 #include <base/ids.h>
@@ -15,15 +16,6 @@
 
 namespace Settings {
 
-/// An IP address and a TCP port.
-struct Endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-
-    bool operator==(const Endpoint &) const = default;
-};
-
 struct PeerSettings
 {
     Base::DaemonId daemon;
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -172,6 +172,40 @@
     BOOST_TEST(!isIpAddress(std::string_view("127.0.0.1\0x", 11)));
 }
 
+// Guards against an endpoint that is more than one when it becomes part of a URL.
+BOOST_AUTO_TEST_CASE(endpointsAreStrict)
+{
+    const auto endpoint = parseEndpoint("10.0.0.1:65535");
+    BOOST_TEST_REQUIRE(endpoint.has_value());
+    BOOST_TEST((*endpoint == Endpoint{"10.0.0.1", 65535}));
+    BOOST_TEST(toString(*endpoint) == "10.0.0.1:65535");
+    BOOST_TEST(parseEndpoint("10.0.0.1:1").has_value());
+    for (const char *it : {"",
+                           ":",
+                           "10.0.0.1",
+                           "10.0.0.1:",
+                           "10.0.0.1:0",
+                           "10.0.0.1:65536",
+                           "10.0.0.1:-1",
+                           "10.0.0.1:+1",
+                           "10.0.0.1:080",
+                           "10.0.0.1:80 ",
+                           " 10.0.0.1:80",
+                           "10.0.0.1:80:80",
+                           "10.0.0.1:80/",
+                           "a@10.0.0.1:80",
+                           "host:80",
+                           "10.0.0:80",
+                           "[::1]:80",
+                           "::1:80",
+                           "10.0.0.1:4294967376",
+                           "10.0.0.1:http"}) {
+        BOOST_TEST(!parseEndpoint(it).has_value(), it);
+    }
+    BOOST_TEST(!parseEndpoint(std::string_view("10.0.0.1:80\0", 12)).has_value());
+    BOOST_TEST(!parseEndpoint(std::string_view("10.0.0.1\0:80", 12)).has_value());
+}
+
 // Guards against documents that crash the reader, and against a result despite reported faults.
 BOOST_AUTO_TEST_CASE(mutatedSettingsParseOrReportFaults)
 {
