--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -31,6 +31,8 @@
     std::string requestBody;
     std::size_t bodyOffset = 0; // bytes of requestBody already handed to curl
     std::string responseBody;
+    std::size_t maxResponseBytes = Constants::MAX_RESPONSE_BYTES;
+    bool isTooLarge = false;
     ResponseHandler handler;
 };
 
@@ -91,7 +93,12 @@
 
 static std::size_t writeCallback(char *data, std::size_t, std::size_t n, void *user)
 {
-    static_cast<Transfer *>(user)->responseBody.append(data, n);
+    auto *transfer = static_cast<Transfer *>(user);
+    if (n > transfer->maxResponseBytes - transfer->responseBody.size()) {
+        transfer->isTooLarge = true;
+        return 0; // ends the transfer
+    }
+    transfer->responseBody.append(data, n);
     return n;
 }
 
@@ -255,6 +262,7 @@
     ClientResponse response;
     response.status = transferStatus(easy, code);
     response.isDisconnected = isDisconnectedByPeer(easy, code);
+    response.isTooLarge = transfer->isTooLarge;
     if (response.status.ok()) {
         long httpStatus = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &httpStatus);
@@ -347,6 +355,8 @@
     transfer->id = id;
     transfer->easy = m_d->takeHandle();
     transfer->requestBody = std::move(request.body);
+    if (request.maxResponseBytes > 0)
+        transfer->maxResponseBytes = request.maxResponseBytes;
     transfer->handler = std::move(handler);
     Private::configure(*transfer, request);
     CURL *easy = transfer->easy;
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -30,6 +30,8 @@
     /// A request that is not idempotent is never retried by libcurl, not even if a kept-alive
     /// connection is closed before a response arrives.
     bool idempotent = true;
+    /// A response with a longer body fails; 0 stands for Constants::MAX_RESPONSE_BYTES.
+    std::size_t maxResponseBytes = 0;
 };
 
 struct ClientResponse
@@ -39,6 +41,8 @@
     absl::Status status;
     /// The peer closed, reset or refused the connection; not set if it did not react at all.
     bool isDisconnected = false;
+    /// The body exceeded ClientRequest::maxResponseBytes.
+    bool isTooLarge = false;
     int httpStatus = 0;
     std::string body;
 };
--- a/src/libs/http/httpconstants.h
+++ b/src/libs/http/httpconstants.h
@@ -15,6 +15,8 @@
 /// Kept-alive client connections; more than 60 connections to each of 50 executors.
 constexpr long MAX_CACHED_CONNECTIONS = 4096;
 constexpr std::size_t MAX_IDLE_HANDLES = 1024;
+/// Bodies in the product's own protocols have at most 16 MiB.
+constexpr std::size_t MAX_RESPONSE_BYTES = 64U << 20;
 constexpr std::chrono::milliseconds CONNECT_TIMEOUT_MS{1000};
 
 } // namespace Http::Constants
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -67,6 +67,36 @@
     BOOST_TEST(responseCount == 2);
 }
 
+// Guards against a response that fills the memory.
+BOOST_AUTO_TEST_CASE(oversizedResponsesFail)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    Server server(io, optionsFor(port), [](const Request &, const Respond &respond) {
+        Response response;
+        response.body.assign(100'000, 'x');
+        respond(response);
+    });
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    int responseCount = 0;
+    for (const std::size_t limit : {99'999, 100'000}) {
+        ClientRequest request;
+        request.url = urlOf(port, "/");
+        request.maxResponseBytes = limit;
+        client.send(request, [&, limit](const ClientResponse &response) {
+            const bool fits = limit == 100'000;
+            BOOST_TEST(response.status.ok() == fits);
+            BOOST_TEST(response.isTooLarge == !fits);
+            BOOST_TEST(response.body.size() == (fits ? 100'000U : 0U));
+            if (++responseCount == 2)
+                io.stop();
+        });
+    }
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST(responseCount == 2);
+}
+
 // Guards against bodies over the limit reaching the handler.
 BOOST_AUTO_TEST_CASE(oversizedBodiesAreRejected)
 {
