--- a/src/libs/storage/tablefollower.cpp
+++ b/src/libs/storage/tablefollower.cpp
@@ -48,7 +48,13 @@
 {
     if (!std::exchange(m_isUnavailable, true))
         Base::log(LogLevel::Warning, "storeLost", {{"table", m_table}, {"version", m_newest}});
-    m_timers.schedule(m_retryDelay, [this, alive = m_isAlive, needsSnapshot] {
+    scheduleNext(m_retryDelay, needsSnapshot);
+    m_retryDelay = std::min<Base::Duration>(m_retryDelay * 2, m_timing.maxRetryDelay);
+}
+
+void TableFollower::scheduleNext(Base::Duration delay, bool needsSnapshot)
+{
+    m_timers.schedule(delay, [this, alive = m_isAlive, needsSnapshot] {
         if (!*alive)
             return;
         if (needsSnapshot)
@@ -56,7 +62,12 @@
         else
             awaitChanges();
     });
-    m_retryDelay = std::min<Base::Duration>(m_retryDelay * 2, m_timing.maxRetryDelay);
+}
+
+/// Limits the rate of requests to a store that answers at once and states nothing new.
+Base::Duration TableFollower::delayWithoutProgress()
+{
+    return ++m_responsesWithoutProgress > 1 ? m_timing.maxRetryDelay : std::chrono::milliseconds(0);
 }
 
 bool TableFollower::merge(const TableRow &row)
@@ -149,31 +160,51 @@
 
 void TableFollower::awaitChanges()
 {
-    m_feed.awaitChanges(
-        m_table, m_position, m_timing.maxWait, [this, alive = m_isAlive](const FeedResult &result) {
-            if (!*alive)
-                return;
-            if (result.status == FeedStatus::HistoryGone) {
-                Base::log(LogLevel::Info, "historyGone",
-                          {{"table", m_table}, {"position", m_position}});
-                readSnapshot();
-                return;
-            }
-            if (result.status != FeedStatus::Ok) {
-                scheduleRetry(false);
-                return;
-            }
-            recordSuccess();
-            m_position = std::max(m_position, result.version);
-            m_newest = std::max(m_newest, result.version);
-            bool isChanged = false;
-            for (const TableRow &it : result.rows)
-                isChanged |= merge(it);
-            if (isChanged)
-                m_changed();
-            awaitChangesAfter(result.rows.empty() ? Base::Duration(0)
-                                                  : Base::Duration(m_timing.coalesceDelay));
-        });
+    m_feed.awaitChanges(m_table, m_position, m_timing.maxWait,
+                        [this, alive = m_isAlive, sent = m_timers.now()](const FeedResult &result) {
+                            if (*alive)
+                                changesReceived(result, m_timers.now() - sent);
+                        });
+}
+
+void TableFollower::changesReceived(const FeedResult &result, Base::Duration elapsed)
+{
+    if (result.status == FeedStatus::HistoryGone) {
+        Base::log(LogLevel::Info, "historyGone", {{"table", m_table}, {"position", m_position}});
+        const Base::Duration delay = delayWithoutProgress();
+        if (delay.count() == 0)
+            readSnapshot();
+        else
+            scheduleNext(delay, true);
+        return;
+    }
+    if (result.status != FeedStatus::Ok) {
+        scheduleRetry(false);
+        return;
+    }
+    recordSuccess();
+    Base::Duration delay(0);
+    if (result.version > m_position || elapsed >= m_timing.maxRetryDelay)
+        m_responsesWithoutProgress = 0;
+    else
+        delay = delayWithoutProgress();
+    m_newest = std::max(m_newest, result.version);
+    bool isChanged = false;
+    for (const TableRow &it : result.rows)
+        isChanged |= merge(it);
+    if (isChanged)
+        m_changed();
+    if (result.version < m_position) {
+        // The position is not one of this store, which would state no change before it.
+        Base::log(LogLevel::Warning, "positionUnknown",
+                  {{"table", m_table}, {"position", m_position}, {"version", result.version}});
+        scheduleNext(std::max<Base::Duration>(delay, m_timing.retryDelay), true);
+        return;
+    }
+    m_position = result.version;
+    if (!result.rows.empty())
+        delay = std::max<Base::Duration>(delay, m_timing.coalesceDelay);
+    awaitChangesAfter(delay);
 }
 
 } // namespace Storage
--- a/src/libs/storage/tablefollower.h
+++ b/src/libs/storage/tablefollower.h
@@ -44,8 +44,11 @@
 private:
     void readSnapshot();
     void awaitChanges();
+    void changesReceived(const FeedResult &result, Base::Duration elapsed);
     void awaitChangesAfter(Base::Duration delay);
     void scheduleRetry(bool needsSnapshot);
+    void scheduleNext(Base::Duration delay, bool needsSnapshot);
+    Base::Duration delayWithoutProgress();
     void recordSuccess();
     bool merge(const TableRow &row);
     bool mergeSnapshot(const FeedResult &result);
@@ -64,6 +67,9 @@
     std::optional<Base::TimerId> m_delayTimer; // of awaitChangesAfter()
     bool m_hasSnapshot = false;
     bool m_isUnavailable = false; // the last request failed
+    /// Feed responses since the last one that stated a newer version or was waited for. The next
+    /// request may follow the first one at once, but no others.
+    int m_responsesWithoutProgress = 0;
     Base::Duration m_retryDelay{0};
     Base::TimePoint m_lastResponse;
 };
--- a/tests/auto/storage/tst_storage.cpp
+++ b/tests/auto/storage/tst_storage.cpp
@@ -134,6 +134,46 @@
     BOOST_TEST(changes == 2);
 }
 
+// Guards against requests without pause to a store that has discarded its history again whenever it
+// is asked, or that does not wait for changes.
+BOOST_AUTO_TEST_CASE(responsesWithoutProgressAreSpaced)
+{
+    feed.respond(ok({}, 5));
+    for (int i = 0; i < 4; ++i) {
+        feed.respond({FeedStatus::HistoryGone, {}, {}});
+        if (i > 0) {
+            BOOST_TEST(feed.reads == 1 + i);
+            timers.advance(500ms);
+        }
+        BOOST_TEST(feed.reads == 2 + i);
+        feed.respond(ok({}, 5));
+    }
+    for (int i = 0; i < 4; ++i) {
+        const int waits = feed.waits;
+        feed.respond(ok({row("a", "1", 4)}, 5));
+        BOOST_TEST(feed.waits == waits);
+        timers.advance(500ms);
+        BOOST_TEST(feed.waits == waits + 1);
+    }
+    // A response that was waited for is followed by the next request at once.
+    timers.advance(2000ms);
+    const int waits = feed.waits;
+    feed.respond(ok({}, 5));
+    BOOST_TEST(feed.waits == waits + 1);
+}
+
+// A position that the store does not know would hide all later changes.
+BOOST_AUTO_TEST_CASE(positionAheadOfTheStoreIsReadAgain)
+{
+    feed.respond(ok({row("a", "1", 3)}, 1000));
+    feed.respond(ok({}, 8));
+    timers.advance(500ms);
+    BOOST_TEST(feed.reads == 2);
+    feed.respond(ok({row("a", "2", 8)}, 8));
+    BOOST_TEST(feed.lastAfter.value() == 8U);
+    BOOST_TEST(follower.rows().at("a").value == "2");
+}
+
 BOOST_AUTO_TEST_CASE(outageIsRetriedWithBackoff)
 {
     feed.respond({});
