--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -75,6 +75,8 @@
             line += '\\';
         if (c == '\n')
             line += "\\n";
+        else if (static_cast<unsigned char>(c) < ' ')
+            line += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
         else
             line += c;
     }
