Platform: continue after the longest key, log rows that a page leaves out

The page after a key of 200 bytes, the store's limit, was requested from a longer one, which the store may refuse; the table was then never read.

Rows that are left out of a page were not logged.

--- a/tests/auto/platform/tst_storepages.cpp
+++ b/tests/auto/platform/tst_storepages.cpp
@@ -100,6 +100,7 @@
             BOOST_TEST(keysOf(page->rows) == GOOD_KEYS, boost::test_tools::per_element());
             BOOST_TEST(page->version.value() == 9U);
             BOOST_TEST(page->lastKey == "z");
+            BOOST_TEST(page->unreadableRows == 1U);
         }
     }
 }
@@ -348,6 +349,27 @@
     BOOST_TEST(keys() == GOOD_KEYS, boost::test_tools::per_element());
 }
 
+// A key of the greatest length was continued after with a longer one, which the store refuses.
+BOOST_AUTO_TEST_CASE(pagesContinueAfterTheLongestKey)
+{
+    const std::string longest(200, 'b');
+    answer = [&](const Http::Request &request) {
+        const std::string from = request.parameter("from");
+        if (isFeed(request))
+            return reply(R"({"ver":9,"rows":[]})");
+        if (from.size() > longest.size())
+            return reply("{}", 400);
+        std::string rows = from.empty() ? row("a", 3) + "," : "";
+        rows += row(longest, 4) + (from == longest ? "," + row("z", 7) : "");
+        return reply(R"({"ver":9,"truncated":)" + std::string(from.empty() ? "true" : "false")
+                     + R"(,"rows":[)" + rows + "]}");
+    };
+    follower.start();
+    settle();
+    BOOST_TEST(keys() == std::vector<std::string>({"a", longest, "z"}),
+               boost::test_tools::per_element());
+}
+
 // A position that is not one of the store's would hide all later changes.
 BOOST_AUTO_TEST_CASE(positionAheadOfTheStoreIsGivenUp)
 {
