--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -19,6 +19,7 @@
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
 
+    pid_t pid() const { return m_pid; }
     void signal(int number) const;
     /// Returns whether the process is running, and reaps it if it has ended. Never blocks.
     bool isRunning();
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -1,43 +1,27 @@
 // Settings, processes and calls of the deployment.
 #include "deployment.h"
 
+#include "../support/freeport.h"
+
 #include <manifest/manifestreader.h>
 
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <unistd.h>
-
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
 
 namespace SystemTest {
 
+using TestSupport::freePort;
+
 static constexpr const char *TEAM = "team";
 static constexpr const char *TOKEN = "system-test-operator-token-0123456789";
 static constexpr std::size_t SHARDS = 4;
 static constexpr long CONNECTIONS_PER_HOST = 200;
 static constexpr Milliseconds START_LIMIT_MS{20'000};
 
-/// Below the range from which the kernel takes the ports of outgoing connections, which could take
-/// a port between this check and the start of its program.
-static std::uint16_t freePort()
-{
-    static unsigned next = unsigned(getpid()) * 64;
-    asio::io_context io;
-    for (int i = 0; i < 2000; ++i) {
-        const auto port = std::uint16_t(10'000 + next++ % 20'000);
-        asio::ip::tcp::acceptor acceptor(io);
-        asio::error_code ec;
-        acceptor.open(asio::ip::tcp::v4());
-        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, ec);
-        if (!ec)
-            return port;
-    }
-    throw std::runtime_error("no free port");
-}
-
 static std::string loopback(std::uint16_t port)
 {
     return "http://127.0.0.1:" + std::to_string(port);
