--- a/src/libs/storage/tablefollower.h
+++ b/src/libs/storage/tablefollower.h
@@ -70,7 +70,10 @@
     void readSnapshot();
     void awaitChanges(std::chrono::milliseconds wait);
     void awaitChangesWhenDue();
+    void changesReceived(const FeedResult &result, Base::Duration elapsed);
     void scheduleRetry(bool needsSnapshot);
+    void scheduleNext(Base::Duration delay, bool needsSnapshot);
+    Base::Duration delayWithoutProgress();
     void recordSuccess();
     bool merge(const TableRow &row);
     bool mergeSnapshot(const FeedResult &result);
@@ -92,6 +95,9 @@
     Base::TimePoint m_lastChanges;             // time of the last response with changes
     bool m_hasSnapshot = false;
     bool m_isUnavailable = false; // the last request failed
+    /// Feed responses since the last one that stated a newer version or was waited for. The next
+    /// request may follow the first one at once, but no others.
+    int m_responsesWithoutProgress = 0;
     Base::Duration m_retryDelay{0};
     Base::TimePoint m_lastResponse;
 };
