--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,5 +1,5 @@
 // Load, connections and responses.
-#include "soakcallers.h"
+#include "callers.h"
 
 #include <asio/write.hpp>
 
@@ -96,7 +96,7 @@
         plan.queue = "guarded";
         plan.service = "guarded";
     } else if (kind < 55 && m_hasExtraQueue) {
-        plan.queue = "extra";
+        plan.queue = EXTRA_QUEUE;
     }
     const std::uint64_t trouble = random(1000);
     if (trouble < 4)
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/callers.h
@@ -2,8 +2,8 @@
 // connection, and check that each request is answered once and whole.
 #pragma once
 
-#include "soakdaemons.h"
-#include "soakledger.h"
+#include "daemons.h"
+#include "ledger.h"
 
 #include <random>
 
--- a/tests/soak/soakdaemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -1,5 +1,5 @@
 // Processes of the daemons.
-#include "soakdaemons.h"
+#include "daemons.h"
 
 #include <unistd.h>
 
--- a/tests/soak/soakdaemons.h
+++ b/tests/soak/daemons.h
@@ -2,14 +2,16 @@
 #pragma once
 
 #include "../support/childprocess.h"
-#include "faultrelay.h"
+#include "../support/faultrelay.h"
 #include "journal.h"
-#include "soakstore.h"
+#include "store.h"
 
 #include <optional>
 
 namespace Soak {
 
+using TestSupport::FaultRelay;
+
 constexpr Milliseconds GRACE_MS{4000};
 
 class Daemons
--- /dev/null
+++ b/tests/soak/deployment.h
@@ -0,0 +1,48 @@
+// The deployment of a run: the store, executors, daemons and callers, and the operator's part.
+#pragma once
+
+#include "callers.h"
+#include "executors.h"
+
+#include <base/asiotimers.h>
+
+namespace Soak {
+
+struct DeploymentOptions
+{
+    std::uint64_t seed = 0;
+    Milliseconds duration{20'000}; // with load and faults
+    std::size_t daemons = 3;
+    std::size_t executors = 12;
+    std::size_t callers = 24;
+    std::string folder; // for logs and settings
+};
+
+class Deployment
+{
+public:
+    explicit Deployment(const DeploymentOptions &deploymentOptions);
+
+    /// Runs the event loop until \a condition holds. Returns false after \a limit.
+    bool waitUntil(const std::function<bool()> &condition, Milliseconds limit);
+    /// Writes the next desired state. \a variant decides what changes.
+    void changeDesiredState(std::uint64_t variant);
+
+    const DeploymentOptions options;
+    Journal journal;
+    asio::io_context io{1};
+    Base::AsioTimers timers{io};
+    Ledger ledger{journal};
+    Store store;
+    Daemons daemons;
+    Executors executors;
+    Callers callers;
+
+private:
+    std::string viewOf(std::size_t reader, const std::string &table, const std::string &key,
+                       const std::string &value) const;
+
+    std::uint64_t m_version = 0; // of the desired state
+};
+
+} // namespace Soak
--- a/tests/soak/soakexecutors.cpp
+++ b/tests/soak/executors.cpp
@@ -1,5 +1,5 @@
 // Orders, leases, lifetimes and registrations of the executors.
-#include "soakexecutors.h"
+#include "executors.h"
 
 #include <algorithm>
 #include <stdexcept>
@@ -67,7 +67,7 @@
     return m_executors[executor]->relays[daemon]->port();
 }
 
-std::size_t Executors::indexOf(const std::string &id) const
+std::size_t Executors::indexOf(const std::string &id)
 {
     return std::stoul(id.substr(1));
 }
@@ -116,7 +116,7 @@
     Executor &it = *m_executors[index];
     if (!it.isUp || it.life != life)
         return;
-    if (it.storeCuts == 0 && !m_isStoreAway) {
+    if (it.storeCuts == 0) {
         it.heard = m_timers.now();
         m_store.put(
             "servers", it.life.id,
@@ -214,11 +214,6 @@
     m_executors[executor]->storeCuts += isCut ? 1 : -1;
 }
 
-void Executors::setStoreAway(bool isAway)
-{
-    m_isStoreAway = isAway;
-}
-
 bool Executors::findLongRun(Milliseconds left, std::size_t &executor, TaskName &task)
 {
     std::vector<std::pair<std::size_t, TaskName>> found;
--- a/tests/soak/soakexecutors.h
+++ b/tests/soak/executors.h
@@ -3,14 +3,18 @@
 // here.
 #pragma once
 
-#include "faultrelay.h"
-#include "soakledger.h"
-#include "soakstore.h"
+#include "../support/faultrelay.h"
+#include "ledger.h"
+#include "store.h"
 
 #include <random>
 
 namespace Soak {
 
+using TestSupport::FaultRelay;
+using TestSupport::Lift;
+using TestSupport::LinkFault;
+
 constexpr Milliseconds HOLD_MAX_MS{1000};
 constexpr Milliseconds EXECUTOR_DRAIN_MS{2000};
 
@@ -30,23 +34,19 @@
     void add(const std::string &service, const std::string &zone, std::uint16_t port,
              const std::vector<std::uint16_t> &relayPorts);
 
-    std::size_t count() const { return m_executors.size(); }
     FaultRelay &relay(std::size_t executor, std::size_t daemon);
     /// Index of the executor that has this id.
-    std::size_t indexOf(const std::string &id) const;
+    static std::size_t indexOf(const std::string &id);
     std::uint16_t relayPort(std::size_t executor, std::size_t daemon) const;
 
-    bool isUp(std::size_t executor) const { return m_executors[executor]->isUp; }
     void crash(std::size_t executor, CrashKind kind, Milliseconds downtime);
     /// Announces that it drains, leaves after \a drain, and is back in a new lifetime after
     /// \a downtime.
     void drain(std::size_t executor, Milliseconds drain, Milliseconds downtime);
     /// Refuses orders with \a status; 0 ends that.
     void setRefusal(std::size_t executor, int status);
-    /// Whether its heartbeats reach the store. Faults may overlap.
+    /// Its heartbeats do not reach the store, until each cut has ended.
     void cutFromStore(std::size_t executor, bool isCut);
-    /// Whether the store can be written by executors.
-    void setStoreAway(bool isAway);
 
     /// An executor that runs a task with at least \a left of its run time to go, if there is one,
     /// and the task.
@@ -132,7 +132,6 @@
     std::vector<std::unique_ptr<Executor>> m_executors;
     std::uint64_t m_lastBorn = 0;
     std::uint64_t m_lastId = 0; // of runs and waiting holds
-    bool m_isStoreAway = false;
 };
 
 } // namespace Soak
--- a/tests/soak/soakledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,5 @@
 // Checks of answers against starts and ends.
-#include "soakledger.h"
+#include "ledger.h"
 
 #include <algorithm>
 #include <charconv>
@@ -62,6 +62,8 @@
     ++m_outcomes[outcome];
     if (isRejection(status)) {
         ++job.rejections;
+        if (status == 404 && job.plan.queue != EXTRA_QUEUE)
+            m_journal.find(fmt::format("job {} was refused with 404, and its queue exists", id));
         if (job.isStarted && job.rejections == job.attempts)
             m_journal.find(fmt::format("job {} was rejected with {}, and has started", id, status));
     } else if (state == "completed") {
@@ -98,7 +100,7 @@
 void Ledger::checkFailed(const Job &job)
 {
     const bool hasCause = std::any_of(job.tasks.begin(), job.tasks.end(), [&](const auto &it) {
-        return it.second.failed >= int(job.plan.maxAttempts)
+        return it.second.failed >= MAX_TASK_ATTEMPTS
                || it.second.crashes.size() >= CRASHES_TO_GIVE_UP;
     });
     if (hasCause)
@@ -177,12 +179,6 @@
     at(name).runsOn.erase(on);
 }
 
-std::size_t Ledger::count(const std::string &outcome) const
-{
-    const auto it = m_outcomes.find(outcome);
-    return it == m_outcomes.end() ? 0 : it->second;
-}
-
 std::string Ledger::summary() const
 {
     std::string text = fmt::format("{} jobs;", m_jobs.size());
--- a/tests/soak/soakledger.h
+++ b/tests/soak/ledger.h
@@ -12,6 +12,12 @@
 
 namespace Soak {
 
+/// Of each queue.
+constexpr int MAX_TASK_ATTEMPTS = 3;
+
+/// The queue that is not always in the desired state.
+constexpr char EXTRA_QUEUE[] = "extra";
+
 /// How the tasks of a job behave, apart from working.
 enum class Trouble {
     None,
@@ -34,7 +40,6 @@
     std::string id; // 16 hexadecimal digits
     std::string queue;
     std::string service;
-    std::uint32_t maxAttempts = 3;
     Trouble trouble = Trouble::None;
     std::vector<StepPlan> steps;
 
@@ -92,7 +97,6 @@
     /// The executor left as announced, with a run of the task.
     void left(const TaskName &task, const ExecutorLife &on);
 
-    std::size_t count(const std::string &outcome) const;
     std::string summary() const;
 
 private:
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,6 @@
 // The fault soak: runs daemons as processes, injects faults drawn from a seed, and checks what
 // callers and executors see. See docs/soak.md.
-#include "soakrun.h"
+#include "faults.h"
 
 #include <cxxopts.hpp>
 
@@ -12,9 +12,65 @@
 
 namespace Soak {
 
+static constexpr Milliseconds START_LIMIT_MS{20'000};
+/// A fresh job is completed at each daemon this long after the last fault.
+static constexpr Milliseconds RECOVERY_MS{12'000};
+static constexpr Milliseconds PROBE_PAUSE_MS{300};
+/// After this, all requests are answered, also of jobs that were sent again.
+static constexpr Milliseconds LAST_ANSWERS_MS{45'000};
+/// Nothing runs any more this long after the last answer.
+static constexpr Milliseconds QUIET_MS{6000};
+static constexpr Milliseconds END_LIMIT_MS{10'000};
+static constexpr Milliseconds MEAN_CALLER_PAUSE_MS{700};
 /// A run that hangs is ended after its duration and this time.
 static constexpr unsigned WATCHDOG_S = 180;
 
+using Served = std::shared_ptr<std::vector<bool>>; // by daemon
+
+static void probe(Deployment &it, std::size_t daemon, const Served &served)
+{
+    it.callers.probe(daemon, [&it, daemon, served](bool isCompleted) {
+        if (isCompleted)
+            (*served)[daemon] = true;
+        if (!(*served)[daemon])
+            it.timers.schedule(PROBE_PAUSE_MS,
+                               [&it, daemon, served] { probe(it, daemon, served); });
+    });
+}
+
+/// Sends fresh jobs to each daemon until one was completed there.
+static void checkService(Deployment &it, Milliseconds limit)
+{
+    const auto served = std::make_shared<std::vector<bool>>(it.options.daemons);
+    for (std::size_t i = 0; i < it.options.daemons; ++i)
+        probe(it, i, served);
+    const auto areAllServed = [served] {
+        return !std::count(served->begin(), served->end(), false);
+    };
+    if (it.waitUntil(areAllServed, limit))
+        return;
+    for (std::size_t i = 0; i < it.options.daemons; ++i) {
+        if (!(*served)[i])
+            it.journal.find(fmt::format("no fresh job was completed at {}", it.daemons.nameOf(i)));
+        (*served)[i] = true;
+    }
+}
+
+static void playFaults(Deployment &it)
+{
+    it.callers.start(it.options.callers, MEAN_CALLER_PAUSE_MS);
+    for (const Fault &fault : planFaults(it.options))
+        it.timers.schedule(fault.begin, [&it, fault] { inject(it, fault); });
+    it.waitUntil([] { return false; }, it.options.duration);
+    it.callers.stop();
+    it.journal.note("end of the faults");
+    checkService(it, RECOVERY_MS);
+    if (!it.waitUntil([&it] { return it.callers.openCount() == 0; }, LAST_ANSWERS_MS))
+        it.journal.find(fmt::format("{} jobs are still open", it.callers.openCount()));
+    if (!it.waitUntil([&it] { return it.executors.runCount() == 0; }, QUIET_MS))
+        it.journal.find(fmt::format("{} runs of no job go on", it.executors.runCount()));
+}
+
 static std::string makeFolder(std::uint64_t seed)
 {
     const auto base = std::filesystem::temp_directory_path() / fmt::format("soak-{}.XXXXXX", seed);
@@ -25,15 +81,22 @@
 }
 
 /// Returns whether the run has no findings.
-static bool play(RunOptions options)
+static bool play(DeploymentOptions options)
 {
     options.folder = makeFolder(options.seed);
     TestSupport::ChildProcess::armWatchdog(unsigned(options.duration.count() / 1000) + WATCHDOG_S);
-    Run run(options);
-    const std::vector<std::string> findings = run.execute();
+    Deployment deployment(options);
+    deployment.daemons.start();
+    checkService(deployment, START_LIMIT_MS);
+    const std::vector<std::string> &findings = deployment.journal.findings();
+    if (findings.empty())
+        playFaults(deployment);
+    deployment.daemons.terminateAll();
+    if (!deployment.waitUntil([&] { return deployment.daemons.areAllEnded(); }, END_LIMIT_MS))
+        deployment.journal.find("not all daemons have ended");
     fmt::print("seed {}: {}; {}\n", options.seed,
                findings.empty() ? "passed" : fmt::format("{} FINDINGS", findings.size()),
-               run.summary());
+               deployment.ledger.summary());
     for (const std::string &it : findings)
         fmt::print("  {}\n", it);
     if (findings.empty())
@@ -47,14 +110,15 @@
 static int runSoak(int argc, char **argv)
 {
     cxxopts::Options parser("soak", "Fault soak of endivepathd --platform");
-    parser.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "runs", "number of runs, with rising seeds",
-        cxxopts::value<unsigned>()->default_value("1"))(
-        "seconds", "time with load and faults", cxxopts::value<unsigned>()->default_value("20"))(
-        "daemons", "at least 2", cxxopts::value<std::size_t>()->default_value("3"))(
-        "executors", "at least 4", cxxopts::value<std::size_t>()->default_value("12"))(
+    using cxxopts::value;
+    parser.add_options()("seed", "first seed, or a list",
+                         value<std::vector<std::uint64_t>>()->default_value("1"))(
+        "runs", "number of runs, with rising seeds", value<unsigned>()->default_value("1"))(
+        "seconds", "time with load and faults", value<unsigned>()->default_value("20"))(
+        "daemons", "at least 2", value<std::size_t>()->default_value("3"))(
+        "executors", "at least 4", value<std::size_t>()->default_value("12"))(
         "callers", "connections that send jobs",
-        cxxopts::value<std::size_t>()->default_value("24"))("help", "print this help");
+        value<std::size_t>()->default_value("24"))("help", "print this help");
     const auto arguments = parser.parse(argc, argv);
     if (arguments.count("help") > 0) {
         fmt::print("{}", parser.help());
@@ -62,19 +126,21 @@
     }
     // A failed assertion ends the daemon, which is a finding.
     setenv("EP_SOFT_ASSERT", "abort", 1);
-    RunOptions options;
+    DeploymentOptions options;
     options.duration = std::chrono::seconds(arguments["seconds"].as<unsigned>());
     options.daemons = std::max<std::size_t>(2, arguments["daemons"].as<std::size_t>());
     options.executors = std::max<std::size_t>(4, arguments["executors"].as<std::size_t>());
     options.callers = arguments["callers"].as<std::size_t>();
-    const auto first = arguments["seed"].as<std::uint64_t>();
-    const auto runs = arguments["runs"].as<unsigned>();
+    unsigned played = 0;
     unsigned failed = 0;
-    for (unsigned i = 0; i < runs; ++i) {
-        options.seed = first + i;
-        failed += play(options) ? 0 : 1;
+    for (const std::uint64_t first : arguments["seed"].as<std::vector<std::uint64_t>>()) {
+        for (unsigned i = 0; i < arguments["runs"].as<unsigned>(); ++i) {
+            options.seed = first + i;
+            ++played;
+            failed += play(options) ? 0 : 1;
+        }
     }
-    fmt::print("{} of {} runs with findings\n", failed, runs);
+    fmt::print("{} of {} runs with findings\n", failed, played);
     return failed == 0 ? 0 : 1;
 }
 
--- a/tests/soak/soakstore.cpp
+++ b/tests/soak/store.cpp
@@ -1,5 +1,5 @@
 // Calls of the store.
-#include "soakstore.h"
+#include "store.h"
 
 #include <platform/textcodec.h>
 
@@ -260,10 +260,4 @@
     answerFeeds(table);
 }
 
-bool Store::contains(const std::string &table, const std::string &key) const
-{
-    const auto it = m_rows.find({table, "", key});
-    return it != m_rows.end() && !it->second.isRemoved;
-}
-
 } // namespace Soak
--- a/tests/soak/soakstore.h
+++ b/tests/soak/store.h
@@ -45,7 +45,6 @@
     // Access of the operator and of executors. \a value is not encoded.
     void put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
-    bool contains(const std::string &table, const std::string &key) const;
 
 private:
     struct RowKey
--- a/tests/soak/faultrelay.cpp
+++ b/tests/support/faultrelay.cpp
@@ -7,7 +7,7 @@
 #include <deque>
 #include <string>
 
-namespace Soak {
+namespace TestSupport {
 
 using asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
@@ -201,4 +201,4 @@
                       });
 }
 
-} // namespace Soak
+} // namespace TestSupport
--- a/tests/soak/faultrelay.h
+++ b/tests/support/faultrelay.h
@@ -10,7 +10,7 @@
 #include <memory>
 #include <vector>
 
-namespace Soak {
+namespace TestSupport {
 
 enum class LinkFault {
     Silent,         ///< Bytes are held in both directions.
@@ -63,4 +63,4 @@
     std::vector<ConnectionPtr> m_connections;
 };
 
-} // namespace Soak
+} // namespace TestSupport
