--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -15,6 +15,8 @@
     std::size_t daemons = 3;
     std::size_t executors = 12;
     std::size_t callers = 24;
+    /// Beginnings of the names of the kinds of faults that are injected; all if empty.
+    std::vector<std::string> faults;
     std::string folder; // for logs and settings
 };
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <random>
+#include <stdexcept>
+#include <string_view>
 
 namespace Soak {
 
@@ -241,27 +243,33 @@
     {"desiredState", 6, 0, 0, [](auto &it, auto &fault) { it.changeDesiredState(fault.variant); }},
 };
 
-static const FaultKind &chooseKind(std::uint64_t draw)
+/// Each kind as often as its weight says.
+static std::vector<const FaultKind *> weightedKinds(const std::vector<std::string> &prefixes)
 {
-    const FaultKind *kind = KINDS;
-    while (draw >= kind->weight)
-        draw -= (kind++)->weight;
-    return *kind;
+    std::vector<const FaultKind *> kinds;
+    for (const FaultKind &it : KINDS) {
+        const auto isBegin = [&it](const std::string &prefix) {
+            return std::string_view(it.name).starts_with(prefix);
+        };
+        if (prefixes.empty() || std::any_of(prefixes.begin(), prefixes.end(), isBegin))
+            kinds.insert(kinds.end(), it.weight, &it);
+    }
+    if (kinds.empty())
+        throw std::runtime_error("no such faults");
+    return kinds;
 }
 
 std::vector<Fault> planFaults(const DeploymentOptions &options)
 {
     std::mt19937_64 generator(options.seed);
     const auto draw = [&generator](std::uint64_t max) { return generator() % max; };
-    unsigned weights = 0;
-    for (const FaultKind &it : KINDS)
-        weights += it.weight;
+    const std::vector<const FaultKind *> kinds = weightedKinds(options.faults);
     std::vector<Fault> faults;
     // Some runs have few faults, others many that overlap.
     const std::uint64_t meanPauseMs = 150 + draw(900);
     Milliseconds time = FIRST_FAULT_MS;
     while (time + MAX_FAULT_MS < options.duration) {
-        const FaultKind &kind = chooseKind(draw(weights));
+        const FaultKind &kind = *kinds[draw(kinds.size())];
         // Faults come in series: the same kind up to three times, in quick succession.
         const std::uint64_t repetitions = draw(4) == 0 ? 2 + draw(2) : 1;
         for (std::uint64_t i = 0; i < repetitions; ++i) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 namespace Soak {
@@ -107,18 +109,40 @@
     return findings.empty();
 }
 
+/// Reads lines of seed, seconds, daemons, executors, callers, and a comment.
+static std::vector<DeploymentOptions> readList(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw std::runtime_error("can't read " + path);
+    std::vector<DeploymentOptions> list;
+    for (std::string line; std::getline(file, line);) {
+        DeploymentOptions it;
+        unsigned seconds = 0;
+        std::istringstream text(line);
+        if (text >> it.seed >> seconds >> it.daemons >> it.executors >> it.callers) {
+            it.duration = std::chrono::seconds(seconds);
+            list.push_back(it);
+        }
+    }
+    return list;
+}
+
 static int runSoak(int argc, char **argv)
 {
     cxxopts::Options parser("soak", "Fault soak of endivepathd --platform");
     using cxxopts::value;
-    parser.add_options()("seed", "first seed, or a list",
-                         value<std::vector<std::uint64_t>>()->default_value("1"))(
-        "runs", "number of runs, with rising seeds", value<unsigned>()->default_value("1"))(
-        "seconds", "time with load and faults", value<unsigned>()->default_value("20"))(
-        "daemons", "at least 2", value<std::size_t>()->default_value("3"))(
-        "executors", "at least 4", value<std::size_t>()->default_value("12"))(
-        "callers", "connections that send jobs",
-        value<std::size_t>()->default_value("24"))("help", "print this help");
+    auto add = parser.add_options();
+    add("seed", "first seed", value<std::uint64_t>()->default_value("1"));
+    add("runs", "number of runs, with rising seeds", value<unsigned>()->default_value("1"));
+    add("seconds", "time with load and faults", value<unsigned>()->default_value("20"));
+    add("daemons", "at least 2", value<std::size_t>()->default_value("3"));
+    add("executors", "at least 4", value<std::size_t>()->default_value("12"));
+    add("callers", "each with a connection", value<std::size_t>()->default_value("24"));
+    add("faults", "kinds to inject, by the beginnings of their names",
+        value<std::vector<std::string>>()->default_value(""));
+    add("list", "file with seeds and options to play instead", value<std::string>());
+    add("help", "print this help");
     const auto arguments = parser.parse(argc, argv);
     if (arguments.count("help") > 0) {
         fmt::print("{}", parser.help());
@@ -131,16 +155,17 @@
     options.daemons = std::max<std::size_t>(2, arguments["daemons"].as<std::size_t>());
     options.executors = std::max<std::size_t>(4, arguments["executors"].as<std::size_t>());
     options.callers = arguments["callers"].as<std::size_t>();
-    unsigned played = 0;
-    unsigned failed = 0;
-    for (const std::uint64_t first : arguments["seed"].as<std::vector<std::uint64_t>>()) {
-        for (unsigned i = 0; i < arguments["runs"].as<unsigned>(); ++i) {
-            options.seed = first + i;
-            ++played;
-            failed += play(options) ? 0 : 1;
-        }
+    options.faults = arguments["faults"].as<std::vector<std::string>>();
+    std::vector<DeploymentOptions> list;
+    for (unsigned i = 0; i < arguments["runs"].as<unsigned>(); ++i) {
+        list.push_back(options);
+        list.back().seed = arguments["seed"].as<std::uint64_t>() + i;
     }
-    fmt::print("{} of {} runs with findings\n", failed, played);
+    if (arguments.count("list") > 0)
+        list = readList(arguments["list"].as<std::string>());
+    const auto failed = std::count_if(list.begin(), list.end(),
+                                      [](const DeploymentOptions &it) { return !play(it); });
+    fmt::print("{} of {} runs with findings\n", failed, list.size());
     return failed == 0 ? 0 : 1;
 }
 
