--- a/tests/soak/executors.cpp
+++ b/tests/soak/executors.cpp
@@ -167,18 +167,17 @@
         relay->reset();
 }
 
-void Executors::crash(std::size_t index, CrashKind kind, Milliseconds downtime)
+void Executors::crash(std::size_t index, LinkFault links, Milliseconds downtime)
 {
     Executor &it = *m_executors[index];
     if (!it.isUp)
         return;
     stopAt(it, true);
-    const LinkFault fault = kind == CrashKind::Process ? LinkFault::Refused : LinkFault::Silent;
     for (const auto &relay : it.relays)
-        relay->apply(fault);
-    m_timers.schedule(downtime, [this, index, fault] {
+        relay->apply(links);
+    m_timers.schedule(downtime, [this, index, links] {
         for (const auto &relay : m_executors[index]->relays)
-            relay->lift(fault, Lift::Reset);
+            relay->lift(links, Lift::Reset);
         begin(index);
     });
 }
@@ -204,16 +203,6 @@
     });
 }
 
-void Executors::setRefusal(std::size_t executor, int status)
-{
-    m_executors[executor]->refusal = status;
-}
-
-void Executors::cutFromStore(std::size_t executor, bool isCut)
-{
-    m_executors[executor]->storeCuts += isCut ? 1 : -1;
-}
-
 bool Executors::findLongRun(Milliseconds left, std::size_t &executor, TaskName &task)
 {
     std::vector<std::pair<std::size_t, TaskName>> found;
@@ -382,7 +371,7 @@
     if (isFirst && plan.trouble == Trouble::Crashes) {
         schedule(index, CRASH_AFTER_MS, [this, index, isActive](Executor &it) {
             if (isActive(it))
-                crash(index, CrashKind::Process, CRASH_DOWNTIME_MS);
+                crash(index, LinkFault::Refused, CRASH_DOWNTIME_MS);
         });
     }
     schedule(index, std::chrono::ceil<Milliseconds>(run.due - m_timers.now()),
@@ -402,8 +391,8 @@
     it.refusedUpTo[name] = std::max(it.refusedUpTo[name], run.number);
     it.ended.push_back({++it.lastEnd, name, run.number, outcome});
     m_ledger.ended(run.task, it.life, outcome);
-    for (const WaitingHold &hold : std::exchange(it.holds, {}))
-        hold.respond(list(it));
+    for (const auto &[id, respond] : std::exchange(it.holds, {}))
+        respond(list(it));
 }
 
 Http::Response Executors::stop(std::size_t index, const json &body)
@@ -459,15 +448,11 @@
         return;
     }
     const std::uint64_t id = ++m_lastId;
-    it.holds.push_back({id, respond});
+    it.holds.emplace(id, respond);
     schedule(index, Milliseconds(waitMs), [this, id](Executor &executor) {
-        const auto waiting = std::find_if(executor.holds.begin(), executor.holds.end(),
-                                          [id](const WaitingHold &hold) { return hold.id == id; });
-        if (waiting == executor.holds.end())
-            return;
-        const Http::Respond answerLater = waiting->respond;
-        executor.holds.erase(waiting);
-        answerLater(list(executor));
+        const auto node = executor.holds.extract(id);
+        if (!node.empty())
+            node.mapped()(list(executor));
     });
 }
 
--- a/tests/soak/executors.h
+++ b/tests/soak/executors.h
@@ -18,12 +18,6 @@
 constexpr Milliseconds HOLD_MAX_MS{1000};
 constexpr Milliseconds EXECUTOR_DRAIN_MS{2000};
 
-/// How an executor crashes.
-enum class CrashKind {
-    Process, ///< Its host resets its connections and refuses new ones.
-    Host,    ///< Nothing answers.
-};
-
 class Executors
 {
 public:
@@ -39,14 +33,18 @@
     static std::size_t indexOf(const std::string &id);
     std::uint16_t relayPort(std::size_t executor, std::size_t daemon) const;
 
-    void crash(std::size_t executor, CrashKind kind, Milliseconds downtime);
+    /// \a links tells how its host then treats connections: Refused, or Silent without power.
+    void crash(std::size_t executor, LinkFault links, Milliseconds downtime);
     /// Announces that it drains, leaves after \a drain, and is back in a new lifetime after
     /// \a downtime.
     void drain(std::size_t executor, Milliseconds drain, Milliseconds downtime);
     /// Refuses orders with \a status; 0 ends that.
-    void setRefusal(std::size_t executor, int status);
+    void setRefusal(std::size_t executor, int status) { m_executors[executor]->refusal = status; }
     /// Its heartbeats do not reach the store, until each cut has ended.
-    void cutFromStore(std::size_t executor, bool isCut);
+    void cutFromStore(std::size_t executor, bool isCut)
+    {
+        m_executors[executor]->storeCuts += isCut ? 1 : -1;
+    }
 
     /// An executor that runs a task with at least \a left of its run time to go, if there is one,
     /// and the task.
@@ -73,11 +71,6 @@
         std::uint64_t run = 0;
         RunOutcome outcome = RunOutcome::Done;
     };
-    struct WaitingHold
-    {
-        std::uint64_t id = 0;
-        Http::Respond respond;
-    };
     struct Executor
     {
         ExecutorLife life;
@@ -101,7 +94,7 @@
         std::map<std::string, std::uint64_t> refusedUpTo;
         std::deque<End> ended; // not forgotten yet
         std::uint64_t lastEnd = 0;
-        std::vector<WaitingHold> holds;
+        std::map<std::uint64_t, Http::Respond> holds;    // that wait for an end
         std::vector<std::unique_ptr<FaultRelay>> relays; // by daemon
         std::unique_ptr<Http::Server> server;
     };
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -111,12 +111,6 @@
     });
 }
 
-static void crashExecutor(Deployment &it, const Fault &fault)
-{
-    const CrashKind kind = fault.variant % 2 == 0 ? CrashKind::Process : CrashKind::Host;
-    it.executors.crash(fault.executor, kind, fault.duration);
-}
-
 static void refuseOrders(Deployment &it, const Fault &fault)
 {
     it.executors.setRefusal(fault.executor, 503);
@@ -201,7 +195,12 @@
     {"executorReset", 5, 0, 0, [](auto &it, auto &fault) { reset(relaysTo(it, fault.executor)); }},
     {"executorUnhealthy", 4, 300, 2000, refuseOrders},
     {"taskFollowed", 12, 1000, 3000, cutTask},
-    {"executorCrash", 6, 200, 2000, crashExecutor},
+    {"executorCrash", 6, 200, 2000,
+     [](auto &it, auto &fault) {
+         it.executors.crash(fault.executor,
+                            fault.variant % 2 == 0 ? LinkFault::Refused : LinkFault::Silent,
+                            fault.duration);
+     }},
     {"executorDrain", 4, 500, 2000,
      [](auto &it, auto &fault) {
          it.executors.drain(fault.executor, EXECUTOR_DRAIN_MS + Milliseconds(fault.variant),
