--- /dev/null
+++ b/review/harness/cases.cpp
@@ -0,0 +1,110 @@
+// Load, disruption and check of each case.
+#include "cases.h"
+
+#include "deployment.h"
+
+#include <stdexcept>
+
+namespace Review {
+
+static constexpr Milliseconds START_LIMIT_MS{20'000};
+static constexpr unsigned WATCHDOG_S = 118;
+
+static const std::vector<std::string> ZONES = {"center", "medeu", "bostandyk"};
+
+/// Four executors in each zone, of the speeds of the small deployment.
+static std::vector<ExecutorPlan> makeExecutors()
+{
+    static constexpr double SPEEDS[] = {0.6, 1.0, 1.6, 1.0};
+    std::vector<ExecutorPlan> plans;
+    for (const std::string &zone : ZONES) {
+        for (const double it : SPEEDS)
+            plans.push_back({zone, it, 1});
+    }
+    return plans;
+}
+
+static int finish(Deployment &it)
+{
+    const bool areRunning = it.areDaemonsRunning();
+    if (!areRunning) {
+        ++it.record.broken;
+        it.record.note("BROKEN: a daemon has ended by itself");
+    }
+    it.record.note(fmt::format("{} starts, {} answers, {} jobs completed, rule broken {} times",
+                               it.record.starts, it.record.answered, it.record.completed,
+                               it.record.broken));
+    return it.record.broken > 0 ? 1 : 0;
+}
+
+static void awaitService(Deployment &it)
+{
+    if (!it.awaitService(START_LIMIT_MS))
+        throw std::runtime_error("the deployment does not serve");
+    it.record.note("all daemons serve");
+}
+
+/// Sends jobs to all daemons in turn until \a end.
+static void sendJobs(Deployment &it, Base::TimePoint end, Milliseconds pause,
+                     const std::function<Job()> &makeJob)
+{
+    if (it.timers.now() >= end)
+        return;
+    it.submit(makeJob(), it.random(it.daemonCount()));
+    it.timers.schedule(pause / 2 + Milliseconds(it.random(std::uint64_t(pause.count()))),
+                       [&it, end, pause, makeJob] { sendJobs(it, end, pause, makeJob); });
+}
+
+/// Connections of one daemon are reset while jobs with long tasks run.
+static int playResets(const CaseOptions &options)
+{
+    static constexpr Milliseconds LOAD_MS{75'000};
+    static constexpr Milliseconds PERIOD_MS{2000};
+    static constexpr double SHARE = 0.55;
+    Deployment it(options.folder, options.seed, ZONES, makeExecutors());
+    awaitService(it);
+    const Base::TimePoint end = it.timers.now() + LOAD_MS;
+    sendJobs(it, end, Milliseconds(800), [&it] {
+        return it.makeJob(4, Milliseconds(2400 + it.random(1200)));
+    });
+    while (it.timers.now() < end) {
+        it.runFor(PERIOD_MS);
+        if (options.hasTrouble)
+            it.resetConnections(it.random(it.daemonCount()), SHARE);
+    }
+    it.runFor(Milliseconds(8000));
+    return finish(it);
+}
+
+/// Executors crash and are back under their ids after 0.3 s.
+static int playRestarts(const CaseOptions &options)
+{
+    static constexpr Milliseconds LOAD_MS{75'000};
+    static constexpr Milliseconds PERIOD_MS{1500};
+    static constexpr Milliseconds DOWNTIME_MS{300};
+    Deployment it(options.folder, options.seed, ZONES, makeExecutors());
+    awaitService(it);
+    const Base::TimePoint end = it.timers.now() + LOAD_MS;
+    sendJobs(it, end, Milliseconds(300), [&it] {
+        return it.makeJob(4, Milliseconds(200 + it.random(1000)));
+    });
+    while (it.timers.now() < end) {
+        it.runFor(PERIOD_MS);
+        if (options.hasTrouble)
+            it.executor(it.random(it.executorCount())).crash(DOWNTIME_MS);
+    }
+    it.runFor(Milliseconds(6000));
+    return finish(it);
+}
+
+int playCase(const std::string &name, const CaseOptions &options)
+{
+    TestSupport::ChildProcess::armWatchdog(WATCHDOG_S);
+    if (name == "resets")
+        return playResets(options);
+    if (name == "restarts")
+        return playRestarts(options);
+    throw std::runtime_error("unknown case " + name);
+}
+
+} // namespace Review
