--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -1,10 +1,10 @@
 // Set-up, settings of the daemons, and clients.
 #include "deployment.h"
 
-#include <tests/support/freeport.h>
-
 #include <asio/write.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -15,12 +15,29 @@
 
 using asio::ip::tcp;
 using nlohmann::json;
-using TestSupport::freePort;
 
 static constexpr int MAX_ATTEMPTS = 4;
 static constexpr Milliseconds RETRANSMIT_MS{1300};
 static constexpr Milliseconds ANSWER_MARGIN_MS{500};
 
+/// A free port below the range from which the kernel takes the ports of outgoing connections.
+/// Processes that run at the same time search different ranges.
+static std::uint16_t freePort()
+{
+    static unsigned next = unsigned(getpid()) * 512;
+    asio::io_context io;
+    for (int i = 0; i < 20'000; ++i) {
+        const auto port = std::uint16_t(10'000 + next++ % 20'000);
+        tcp::acceptor acceptor(io);
+        asio::error_code ec;
+        acceptor.open(tcp::v4());
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, ec);
+        if (!ec)
+            return port;
+    }
+    throw std::runtime_error("no free port");
+}
+
 struct Deployment::Request
 {
     explicit Request(asio::io_context &io)
@@ -46,10 +63,10 @@
               [this](std::size_t reader, const std::string &table, const std::string &key,
                      const std::string &value) { return viewOf(reader, table, key, value); })
 {
-    const json route{{"name", "shift-audit"},     {"host", "cellar.example"},
-                     {"pathPrefix", "/audit/"},   {"service", "cellarlog"},
-                     {"priority", 0},             {"maxAttempts", 3},
-                     {"stretch", 1.6},            {"targetCompletionMs", 3000},
+    const json route{{"name", "shift-audit"},   {"host", "cellar.example"},
+                     {"pathPrefix", "/audit/"}, {"service", "cellarlog"},
+                     {"priority", 0},           {"maxAttempts", 3},
+                     {"stretch", 1.6},          {"targetCompletionMs", 3000},
                      {"timeoutMs", 10'000}};
     m_store.put("op", "config",
                 json({{"version", 3},
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -4,9 +4,9 @@
 
 #include "executor.h"
 
+#include <base/asiotimers.h>
 #include <tests/soak/store.h>
 #include <tests/support/childprocess.h>
-#include <base/asiotimers.h>
 
 #include <optional>
 #include <random>
--- a/review/harness/executor.cpp
+++ b/review/harness/executor.cpp
@@ -71,13 +71,22 @@
     m_lastEnd = 0;
     m_relay.setRefusing(false);
     m_record.note(fmt::format("executor {} is up, born {}", m_options.id, m_born));
-    heartbeat(m_born);
+    // Registered at once; the heartbeats of the executors are spread over the period.
+    writeRegistration();
+    const std::size_t phase = std::hash<std::string>()(m_options.id) % HEARTBEAT_MS.count();
+    m_timers.schedule(Milliseconds(phase), [this, born = m_born] { heartbeat(born); });
 }
 
 void Executor::heartbeat(std::uint64_t born)
 {
     if (m_born != born)
         return;
+    writeRegistration();
+    m_timers.schedule(HEARTBEAT_MS, [this, born] { heartbeat(born); });
+}
+
+void Executor::writeRegistration()
+{
     m_store.put("servers", m_options.id,
                 json({{"service", "cellarlog"},
                       {"address", fmt::format("127.0.0.1:{}", m_options.relayPort)},
@@ -91,7 +100,6 @@
                       {"capacity", {{"cpu", m_options.cpuMillis}, {"memMb", 65536}, {"gpu", 0}}},
                       {"labels", {"a", "r1-1"}}})
                     .dump());
-    m_timers.schedule(HEARTBEAT_MS, [this, born] { heartbeat(born); });
 }
 
 void Executor::crash(Milliseconds downtime)
@@ -141,7 +149,8 @@
 {
     const auto until = body.find("untilMs");
     if (until != body.end())
-        m_leaseEnd = std::max(m_leaseEnd, std::min(until->get<std::int64_t>(), clock() + HOLD_MAX_MS));
+        m_leaseEnd =
+            std::max(m_leaseEnd, std::min(until->get<std::int64_t>(), clock() + HOLD_MAX_MS));
 }
 
 Http::Response Executor::start(const json &body)
--- a/review/harness/executor.h
+++ b/review/harness/executor.h
@@ -5,10 +5,10 @@
 #include "record.h"
 #include "relay.h"
 
-#include <tests/soak/store.h>
 #include <base/timers.h>
 #include <http/server.h>
 #include <nlohmann/json.hpp>
+#include <tests/soak/store.h>
 
 #include <deque>
 #include <functional>
@@ -57,6 +57,7 @@
 
     void begin();
     void heartbeat(std::uint64_t born);
+    void writeRegistration();
     std::int64_t clock() const;
     void schedule(Base::Duration delay, std::function<void()> action);
     void handle(const Http::Request &request, const Http::Respond &respond);
