--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -128,6 +128,37 @@
     return finish(it);
 }
 
+/// The daemon that owns a group is killed, and soon after it the next two that take the group over.
+static int playKills(const CaseOptions &options)
+{
+    static constexpr Milliseconds LOAD_MS{80'000};
+    static constexpr Milliseconds PERIOD_MS{3500};
+    static constexpr Milliseconds GAP_MS{550};
+    static constexpr Milliseconds DOWNTIME_MS{500};
+    static constexpr int KILLS = 3;
+    const std::vector<std::string> zones = {"center", "medeu",     "bostandyk",
+                                            "center", "bostandyk", "medeu"};
+    Deployment it(options.folder, options.seed, zones, makeExecutors());
+    awaitService(it);
+    const Base::TimePoint end = it.timers.now() + LOAD_MS;
+    sendJobs(it, end, Milliseconds(250), [&it] {
+        Job job = it.makeJob(4, Milliseconds(2400 + it.random(1200)));
+        job.cpuMillis = 1500;
+        return job;
+    });
+    while (it.timers.now() < end) {
+        it.runFor(PERIOD_MS);
+        Executor &executor = it.executor(it.random(it.executorCount()));
+        for (int i = 0; options.hasTrouble && i < KILLS; ++i) {
+            if (const auto giver = it.giverOf(executor))
+                it.kill(*giver, DOWNTIME_MS);
+            it.runFor(GAP_MS);
+        }
+    }
+    it.runFor(Milliseconds(8000));
+    return finish(it);
+}
+
 int playCase(const std::string &name, const CaseOptions &options)
 {
     TestSupport::ChildProcess::armWatchdog(WATCHDOG_S);
@@ -137,6 +168,8 @@
         return playRestarts(options);
     if (name == "slow-clocks")
         return playSlowClocks(options);
+    if (name == "kills")
+        return playKills(options);
     throw std::runtime_error("unknown case " + name);
 }
 
--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -5,7 +5,7 @@
 
 #include <unistd.h>
 
-#include <csignal>
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <stdexcept>
@@ -58,6 +58,7 @@
                        const std::vector<std::string> &zones,
                        const std::vector<ExecutorPlan> &executors)
     : record(folder + "/record.txt")
+    , m_folder(folder)
     , m_random(seed)
     , m_store(io, timers,
               [this](std::size_t reader, const std::string &table, const std::string &key,
@@ -97,9 +98,12 @@
             it.peers.push_back(std::make_unique<Relay>(io, freePort(), it.peerPort));
     }
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
-        const std::uint16_t storePort = freePort();
-        m_store.listen(storePort);
-        startDaemon(i, folder, storePort);
+        Daemon &it = m_daemons[i];
+        it.storePort = freePort();
+        it.frontPort = freePort();
+        it.front = std::make_unique<Relay>(io, freePort(), it.frontPort);
+        m_store.listen(it.storePort);
+        startDaemon(i);
     }
 }
 
@@ -123,22 +127,27 @@
     return document.dump();
 }
 
-void Deployment::startDaemon(std::size_t index, const std::string &folder, std::uint16_t storePort)
+/// Beginning of the paths of the daemon's settings and log.
+std::string Deployment::filesOf(const Daemon &daemon) const
+{
+    const char *const temporary = std::getenv("REVIEW_TMP");
+    return fmt::format("{}/{}", temporary ? temporary : m_folder, daemon.name);
+}
+
+void Deployment::startDaemon(std::size_t index)
 {
     Daemon &it = m_daemons[index];
     const auto endpoint = [](std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); };
-    const std::uint16_t frontPort = freePort();
-    const char *const temporary = std::getenv("REVIEW_TMP");
-    const std::string base = fmt::format("{}/{}", temporary ? temporary : folder, it.name);
+    const std::string base = filesOf(it);
     // As rendered from deploy/settings.json.in.
     std::ofstream(base + ".json") << json({{"daemon", it.name},
                                            {"failureDomain", it.zone},
                                            {"address", "127.0.0.1"},
                                            {"peerPort", it.peerPort},
                                            {"operatorPort", freePort()},
-                                           {"callers", endpoint(frontPort)},
+                                           {"callers", endpoint(it.frontPort)},
                                            {"readiness", endpoint(freePort())},
-                                           {"store", endpoint(storePort)},
+                                           {"store", endpoint(it.storePort)},
                                            {"orders", "invocation"},
                                            {"graceSeconds", 6},
                                            {"executorDrainMs", 2000},
@@ -147,7 +156,6 @@
                                            {"cores", 1},
                                            {"logLevel", "info"}})
                                          .dump();
-    it.front = std::make_unique<Relay>(io, freePort(), frontPort);
     setenv("ENDIVEPATH_SETTINGS", (base + ".json").c_str(), 1);
     it.process = std::make_unique<TestSupport::ChildProcess>(
         std::vector<std::string>{"target/bin/endivepathd", "--platform"}, base + ".log");
@@ -158,12 +166,39 @@
     io.run_for(duration);
 }
 
+void Deployment::kill(std::size_t index, Milliseconds downtime)
+{
+    record.note(fmt::format("{} is killed", m_daemons[index].name));
+    m_daemons[index].process->kill();
+    timers.schedule(downtime, [this, index] { startDaemon(index); });
+}
+
+/// The low bits of a token are those of the number under which the daemon has registered, which is
+/// in its log.
+std::optional<std::size_t> Deployment::giverOf(const Executor &executor)
+{
+    static constexpr std::uint64_t NUMBER_MASK = 0xffff;
+    static constexpr std::string_view NUMBER = " number=";
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        std::ifstream file(filesOf(m_daemons[i]) + ".log");
+        std::uint64_t number = 0;
+        for (std::string line; std::getline(file, line);) {
+            const std::size_t at = line.find(NUMBER);
+            if (line.find(" registered ") != std::string::npos && at != std::string::npos)
+                number = std::stoull(line.substr(at + NUMBER.size()));
+        }
+        const bool isGiver =
+            number > 0 && (number & NUMBER_MASK) == (executor.token() & NUMBER_MASK);
+        if (isGiver && m_daemons[i].process->isRunning())
+            return i;
+    }
+    return std::nullopt;
+}
+
 bool Deployment::areDaemonsRunning()
 {
-    bool areRunning = true;
-    for (Daemon &it : m_daemons)
-        areRunning &= it.process->isRunning();
-    return areRunning;
+    return std::all_of(m_daemons.begin(), m_daemons.end(),
+                       [](const Daemon &it) { return it.process->isRunning(); });
 }
 
 Job Deployment::makeJob(std::uint32_t tasks, Milliseconds runTime)
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -54,6 +54,10 @@
     std::size_t openCount() const { return m_open; }
     /// Resets about \a share of the connections of daemon \a index with clients and other daemons.
     int resetConnections(std::size_t index, double share);
+    /// The daemon that gave the last order to \a executor, if it is running.
+    std::optional<std::size_t> giverOf(const Executor &executor);
+    /// Kills a daemon, which is started again after \a downtime.
+    void kill(std::size_t index, Milliseconds downtime);
     /// Whether all daemons are running.
     bool areDaemonsRunning();
 
@@ -67,6 +71,8 @@
         std::string name;
         std::string zone;
         std::uint16_t peerPort = 0;
+        std::uint16_t frontPort = 0;
+        std::uint16_t storePort = 0;
         std::unique_ptr<Relay> front;
         std::vector<std::unique_ptr<Relay>> peers; // that lead to this daemon, by their user
         std::unique_ptr<TestSupport::ChildProcess> process;
@@ -75,10 +81,12 @@
 
     std::string viewOf(std::size_t reader, const std::string &table, const std::string &key,
                        const std::string &value) const;
-    void startDaemon(std::size_t index, const std::string &folder, std::uint16_t storePort);
+    std::string filesOf(const Daemon &daemon) const;
+    void startDaemon(std::size_t index);
     void read(const std::shared_ptr<Request> &request);
     void ended(const std::shared_ptr<Request> &request, int status, const std::string &state);
 
+    const std::string m_folder;
     std::mt19937_64 m_random;
     Soak::Store m_store;
     std::vector<Daemon> m_daemons;
--- a/review/harness/executor.h
+++ b/review/harness/executor.h
@@ -37,6 +37,8 @@
     const ExecutorOptions &options() const { return m_options; }
     Relay &relay() { return m_relay; }
     std::size_t runCount() const { return m_runs.size(); }
+    /// The highest token that it has seen.
+    std::uint64_t token() const { return m_token; }
     /// The process dies, and starts again under the same id after \a downtime.
     void crash(Milliseconds downtime);
 
