Dispatch: stop tasks whose stop message was lost with its connection

Cause: a job that ends or is cancelled sends StopJob once to each owner. Frames that are queued or in transit when a connection breaks are lost, and after the reconnection, 100 ms later, only the jobs that still exist are claimed. The owner kept the tasks of a coordinator that it still heard, so they ran on to their end, beside those of the same job that its caller had submitted to another daemon.

Ruled out by the test: a coordinator that counts as lost, since its tasks are dropped after 200 ms.

Fix: the claims that follow each new connection and each change of an owner now end with a marker, sent in the state message. Tasks of the coordinator that are in no batch of the round are stopped. A stop that cannot be sent at all, as when the send queue is full, starts such a round too. Batches from before a round that are delivered late are ignored.

Older daemons ignore the new field of the state message.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -177,6 +177,8 @@
     m_ownership.stateReceived(from.daemon, from.domain, from.incarnation, state);
     if (m_stateListener)
         m_stateListener->stateReceived(from.daemon, state);
+    for (const Wire::GroupClaimsEnd &it : state.claimsEnds)
+        claimsEnded(from.daemon, it);
     const auto connection = std::pair(from.incarnation, state.connectionCount);
     auto &known = m_peerConnections[from.daemon];
     if (known == connection)
@@ -186,14 +188,46 @@
     claimTasksAt(from.daemon);
 }
 
-void DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections,
-                             std::uint64_t rounds)
+void DispatchNode::claimsEnded(const Base::DaemonId &coordinator, const Wire::GroupClaimsEnd &end)
+{
+    const auto it = m_owned.find(GroupId(end.group));
+    if (it == m_owned.end() || it->second->token().value() != end.token)
+        return;
+    // Some of the claims may have been dropped. The coordinator repeats them.
+    if (coordinator != m_self && (areMessagesStale() || m_droppedClaims.erase(coordinator) > 0)) {
+        m_ownership.recordDroppedTasks(coordinator);
+        return;
+    }
+    it->second->claimsEnded(coordinator, end.firstSequence);
+}
+
+bool DispatchNode::sendClaimsEnd(const GroupId &group, std::uint64_t firstSequence)
+{
+    const auto owner = m_ownership.owner(group);
+    const auto token = m_ownership.token(group);
+    if (!owner || !token)
+        return false;
+    const Wire::GroupClaimsEnd end{group.value(), token->value(), firstSequence};
+    if (*owner == m_self) {
+        // After the claims, which are posted too.
+        post([this, end] { claimsEnded(m_self, end); });
+        return true;
+    }
+    const auto connections = m_connections.find(*owner);
+    return connections != m_connections.end()
+           && sendState(*owner, connections->second, roundsBetweenStates(*owner, {*owner}), {end});
+}
+
+bool DispatchNode::sendState(const Base::DaemonId &peer, std::uint64_t connections,
+                             std::uint64_t rounds,
+                             const std::vector<Wire::GroupClaimsEnd> &claimsEnds)
 {
     Wire::DispatchState state = m_ownership.stateFor(peer, Constants::HEARTBEAT_MS * rounds);
     state.connectionCount = connections;
+    state.claimsEnds = claimsEnds;
     if (m_stateListener)
         m_stateListener->addToState(state);
-    m_peers.send(peer, state);
+    return m_peers.send(peer, state);
 }
 
 /// A state message is sent to \a peer in every n-th round of them.
@@ -253,6 +287,7 @@
             return;
         if (from != m_self && (areMessagesStale() || !m_ownership.isAlive(from))) {
             m_ownership.recordDroppedTasks(from);
+            m_droppedClaims.insert(from);
             return;
         }
         it->second->submit(from, *batch);
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -82,6 +82,7 @@
     void probeGroup(const GroupId &group) override;
     bool sendToOwner(const GroupId &group, const Wire::Message &message) override;
     bool isOwnerReachable(const GroupId &group) const override;
+    bool sendClaimsEnd(const GroupId &group, std::uint64_t firstSequence) override;
 
     /// The last report of a group's load.
     struct LoadReport
@@ -98,7 +99,8 @@
     /// Peers to which load reports are sent equally often.
     enum class LoadAudience { Local, Remote, RemoteSmall };
 
-    void sendState(const Base::DaemonId &peer, std::uint64_t connections, std::uint64_t rounds);
+    bool sendState(const Base::DaemonId &peer, std::uint64_t connections, std::uint64_t rounds,
+                   const std::vector<Wire::GroupClaimsEnd> &claimsEnds = {});
     std::uint64_t roundsBetweenStates(const Base::DaemonId &peer,
                                       const std::set<Base::DaemonId> &owners) const;
     void sendStates(bool isForAll);
@@ -116,6 +118,7 @@
     void updateGroup(const GroupId &id, ExecutorGroup &group);
     bool areMessagesStale() const;
     void claimTasksAt(const Base::DaemonId &owner);
+    void claimsEnded(const Base::DaemonId &coordinator, const Wire::GroupClaimsEnd &end);
 
     const Base::DaemonId m_self;
     Base::Timers &m_timers;
@@ -138,6 +141,7 @@
     std::set<Base::DaemonId> m_smallPeers;                              // see GroupOwnership
     std::map<Base::DaemonId, std::uint64_t> m_connections;              // number made to each peer
     std::map<Base::DaemonId, std::pair<Base::Incarnation, std::uint64_t>> m_peerConnections;
+    std::set<Base::DaemonId> m_droppedClaims; // peers with batches dropped since their last claims
     std::map<Base::FailureDomainId, std::size_t> m_groupCounts; // by domain; never decrease
     std::uint64_t m_stateRound = 0;
     Base::TimerId m_tickTimer;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -109,6 +109,9 @@
 void ExecutorGroup::submit(const Base::DaemonId &from, const Wire::TaskBatch &message)
 {
     flushReports();
+    // Delayed on an earlier connection; its tasks have been claimed or cancelled since.
+    if (message.sequence < m_firstSequences[from])
+        return;
     m_batchesSeen[from] = std::max(m_batchesSeen[from], message.sequence);
     auto batch = std::make_shared<BatchInfo>();
     batch->message = message;
@@ -1035,12 +1038,35 @@
         if (it->second.coordinator == from)
             ids.push_back(it->first);
     }
+    cancelTasks(ids);
+}
+
+void ExecutorGroup::cancelTasks(const std::vector<TaskId> &ids)
+{
     for (const TaskId &it : ids)
         cancelTask(it, m_tasks.at(it));
     placeQueued();
     flushReports();
 }
 
+void ExecutorGroup::claimsEnded(const Base::DaemonId &coordinator, std::uint64_t firstSequence)
+{
+    std::uint64_t &known = m_firstSequences[coordinator];
+    known = std::max(known, firstSequence);
+    std::vector<TaskId> ids;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.coordinator == coordinator && !task.isCancelled
+            && task.batch->message.sequence < firstSequence) {
+            ids.push_back(id);
+        }
+    }
+    if (ids.empty())
+        return;
+    Base::log(LogLevel::Info, "unclaimedTasksStopped",
+              {{"group", m_group}, {"coordinator", coordinator}, {"tasks", ids.size()}});
+    cancelTasks(ids);
+}
+
 void ExecutorGroup::coordinatorLost(const Base::DaemonId &daemon)
 {
     std::vector<TaskId> ids;
@@ -1058,6 +1084,7 @@
         cancelTask(it, task);
     }
     m_batchesSeen.erase(daemon);
+    m_firstSequences.erase(daemon);
     placeQueued();
     flushReports();
 }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -75,6 +75,9 @@
 
     void submit(const Base::DaemonId &from, const Wire::TaskBatch &message);
     void stopJob(const Base::DaemonId &from, const JobId &job);
+    /// \a coordinator has claimed all tasks that it still needs in the batches from
+    /// \a firstSequence on: stops its other ones, whose stop may have been lost with a connection.
+    void claimsEnded(const Base::DaemonId &coordinator, std::uint64_t firstSequence);
     /// Stops and drops all tasks of \a daemon without a report: it has failed or is disconnected,
     /// and its callers submit their jobs again elsewhere. If it is still running, it claims its
     /// tasks again.
@@ -146,6 +149,7 @@
                     const Wire::BatchTask &entry);
     bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
     void cancelTask(const TaskId &id, Task &task);
+    void cancelTasks(const std::vector<TaskId> &ids);
     bool claimFoundRun(const TaskId &id, const Task &task);
     bool attachTask(const Base::DaemonId &from, const std::shared_ptr<const BatchInfo> &batch,
                     const TaskId &id, std::uint64_t minRun);
@@ -226,6 +230,8 @@
     std::map<TaskId, EndedTask> m_ended;
     Base::TimePoint m_lastPrune; // of m_ended
     std::map<Base::DaemonId, std::uint64_t> m_batchesSeen;
+    // By coordinator: earlier batches are superseded by its claims.
+    std::map<Base::DaemonId, std::uint64_t> m_firstSequences;
     std::map<std::uint32_t, double> m_estimateBias; // by priority, as a logarithm
     std::map<std::pair<Base::DaemonId, JobId>, Wire::TaskReports> m_reports; // not sent yet
     std::uint64_t m_lastHold = 0; // number of the hold sent last
--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -244,6 +244,14 @@
     return it->second.claim->owner;
 }
 
+std::optional<FencingToken> GroupOwnership::token(const GroupId &group) const
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end() || !it->second.claim)
+        return std::nullopt;
+    return it->second.claim->token;
+}
+
 bool GroupOwnership::isRemote(const Base::DaemonId &peer) const
 {
     const auto it = m_peers.find(peer);
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -89,6 +89,8 @@
     /// Whether \a peer is known to be in another failure domain.
     bool isRemote(const Base::DaemonId &peer) const;
     std::optional<Base::DaemonId> owner(const GroupId &group) const;
+    /// The token under which owner() has claimed \a group.
+    std::optional<FencingToken> token(const GroupId &group) const;
     bool isAlive(const Base::DaemonId &peer) const;
     std::vector<Base::DaemonId> peersToReset();
     /// A batch of \a peer was ignored; the next state message makes the peer claim its tasks again.
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -283,7 +283,8 @@
         if (job == m_jobs.end()) {
             // The job has already ended, so its tasks at the group are no longer needed.
             if (it.state == static_cast<std::uint8_t>(TaskReportState::Started)) {
-                m_sender.sendToOwner(group, Wire::StopJob{reports.group, reports.job});
+                if (!m_sender.sendToOwner(group, Wire::StopJob{reports.group, reports.job}))
+                    m_unreconciled.insert(group);
                 return;
             }
             continue;
@@ -425,8 +426,10 @@
                 groups.insert(it.group);
         }
     }
-    for (const GroupId &it : groups)
-        m_sender.sendToOwner(it, Wire::StopJob{it.value(), id.value()});
+    for (const GroupId &it : groups) {
+        if (!m_sender.sendToOwner(it, Wire::StopJob{it.value(), id.value()}))
+            m_unreconciled.insert(it);
+    }
 }
 
 void JobCoordinator::finish(JobMap::iterator it, JobResult result)
@@ -516,6 +519,7 @@
 
 void JobCoordinator::claimTasks(const GroupId &group)
 {
+    const std::uint64_t firstSequence = m_sequences[group] + 1;
     std::vector<JobId> unknown;
     for (auto &[id, job] : m_jobs) {
         bool hasTasksAtGroup = false;
@@ -533,6 +537,25 @@
     }
     for (const JobId &it : unknown)
         finish(m_jobs.find(it), {JobOutcome::TimedOut, m_jobs.at(it).withdrawalReason, {}});
+    if (areClaimsSent(group) && m_sender.sendClaimsEnd(group, firstSequence))
+        m_unreconciled.erase(group);
+    else
+        m_unreconciled.insert(group);
+}
+
+bool JobCoordinator::areClaimsSent(const GroupId &group) const
+{
+    for (const auto &[id, job] : m_jobs) {
+        for (const auto &step : job.steps) {
+            if (std::any_of(step.begin(), step.end(), [&group](const Task &task) {
+                    return task.state == TaskState::AtGroup && task.group == group
+                           && task.needsClaim;
+                })) {
+                return false;
+            }
+        }
+    }
+    return true;
 }
 
 /// A claim that cannot be sent because the owner is unknown or unreachable is retried by tick().
@@ -585,6 +608,10 @@
         EP_ASSERT(job != m_jobs.end(), continue);
         withdraw(job, "overloaded");
     }
+    for (const GroupId &it : std::set<GroupId>(m_unreconciled)) {
+        if (m_sender.isOwnerReachable(it))
+            claimTasks(it);
+    }
 }
 
 } // namespace Dispatch
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Dispatch {
@@ -42,6 +43,9 @@
     virtual bool sendToOwner(const GroupId &group, const Wire::Message &message) = 0;
     /// Whether sendToOwner() would send.
     virtual bool isOwnerReachable(const GroupId &group) const = 0;
+    /// Tells the owner that the batches from \a firstSequence on contain all tasks that are still
+    /// needed. Returns false, without sending, if the owner is unknown or not connected.
+    virtual bool sendClaimsEnd(const GroupId &group, std::uint64_t firstSequence) = 0;
 };
 
 struct JobCounters
@@ -74,7 +78,8 @@
 
     void reportsReceived(const Wire::TaskReports &reports);
     /// Sends the tasks that are at \a group to its owner again, so that the owner reports on each
-    /// of them. Needed if the owner has changed, or messages to or from it may have been lost.
+    /// of them and stops all others of this daemon. Needed if the owner has changed, or messages to
+    /// or from it may have been lost. Repeated by tick() if not everything could be sent.
     void claimTasks(const GroupId &group);
     void tick();
 
@@ -138,6 +143,7 @@
     void taskLost(JobMap::iterator it, const Wire::TaskReport &report);
     void logGivenUp(const TaskId &task) const;
     void sendClaims(const JobId &id, Job &job);
+    bool areClaimsSent(const GroupId &group) const;
     void withdraw(JobMap::iterator it, const char *reason);
     void finishWithdrawn(JobMap::iterator it);
     void stopTasks(const JobId &id, const Job &job);
@@ -150,6 +156,8 @@
     GroupSender &m_sender;
     JobMap m_jobs;
     std::map<GroupId, std::uint64_t> m_sequences; // last batch sent to each group
+    // Groups whose owner may have tasks that are not needed any more, or lack a claim.
+    std::set<GroupId> m_unreconciled;
     std::optional<Base::TimePoint> m_shutdownDeadline;
     JobCounters m_counters;
 };
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -160,6 +160,17 @@
     MSGPACK_DEFINE(group, owner, token, ageMs)
 };
 
+/// States that the sender has claimed all tasks that it still has at a group of the recipient.
+struct GroupClaimsEnd
+{
+    std::string group;
+    std::uint64_t token = 0; // under which the recipient owns the group
+    /// Tasks of the sender that are in no batch from this sequence on are not needed any more.
+    std::uint64_t firstSequence = 0;
+
+    MSGPACK_DEFINE(group, token, firstSequence)
+};
+
 /// Sent periodically to every daemon that dispatches tasks.
 struct DispatchState
 {
@@ -174,12 +185,13 @@
     /// later.
     std::uint64_t registrationsDigest = 0;
     std::uint32_t registrationsAgeMs = NO_AGE;
+    std::vector<GroupClaimsEnd> claimsEnds; // rounds of claims that end with this message
 
     /// The sender has not read them, or is of an older version.
     static constexpr std::uint32_t NO_AGE = UINT32_MAX;
 
     MSGPACK_DEFINE(draining, heardAgoMs, connectionCount, dropCount, capacity, claims, intervalMs,
-                   registrationsDigest, registrationsAgeMs)
+                   registrationsDigest, registrationsAgeMs, claimsEnds)
 };
 
 /// Free resources of one executor.
--- a/tests/auto/dispatch/dispatchcluster.h
+++ b/tests/auto/dispatch/dispatchcluster.h
@@ -49,6 +49,7 @@
 {
 public:
     static constexpr std::uint32_t MAX_ATTEMPTS = 3;
+    static constexpr std::chrono::milliseconds RECONNECT_DELAY{100};
 
     DispatchCluster()
         : network(clock)
@@ -116,6 +117,16 @@
             connect(a, b);
     }
 
+    /// Resets the connections between two daemons: what is in transit is lost, and they are
+    /// connected again RECONNECT_DELAY later.
+    void resetConnections(const std::string &a, const std::string &b)
+    {
+        network.setPartitioned(Base::DaemonId(a), Base::DaemonId(b), true);
+        node(a).peerDisconnected(identity(b));
+        node(b).peerDisconnected(identity(a));
+        clock.schedule(RECONNECT_DELAY, [this, a, b] { setPartitioned(a, b, false); });
+    }
+
     /// Partitions an executor from all daemons, or reconnects it.
     void setExecutorPartitioned(const ExecutorId &executor, bool isPartitioned)
     {
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -385,6 +385,31 @@
     check();
 }
 
+// The stop of a cancelled job was sent once. When it was lost with its connection, the tasks ran on
+// beside those of the same job, which its caller had submitted to another daemon.
+BOOST_AUTO_TEST_CASE(cancelledJobWhoseStopIsLostRunsOn)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(3s, RunEnd::Done);
+    };
+    for (const bool isCancelledFirst : {false, true}) {
+        const std::string id = isCancelledFirst ? "cancelledFirst" : "resetFirst";
+        submit("a1", id, 16, {6800, 64, 0}, 3s, 20s); // in both failure domains
+        run(200ms);
+        if (isCancelledFirst)
+            node("a1").jobs().cancel(JobId(id));
+        for (const char *it : {"a2", "b1", "b2"})
+            resetConnections("a1", it);
+        if (!isCancelledFirst)
+            node("a1").jobs().cancel(JobId(id));
+        run(1300ms);
+        BOOST_TEST(executors.endCounts[RunEnd::Stopped] == (isCancelledFirst ? 32U : 16U));
+        submit("b1", id, 16, {6800, 64, 0}, 3s, 20s);
+        run(4s);
+        check();
+    }
+}
+
 // The tasks of a lost daemon are stopped before its callers resubmit their jobs 1.3 s later.
 BOOST_AUTO_TEST_CASE(orphanedTasksAreStoppedBeforeTheJobIsResubmitted)
 {
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -235,10 +235,18 @@
         return true;
     }
     bool isOwnerReachable(const GroupId &group) const override { return group != unreachable; }
+    bool sendClaimsEnd(const GroupId &group, std::uint64_t firstSequence) override
+    {
+        if (!isOwnerReachable(group))
+            return false;
+        claimsEnds.emplace_back(group, firstSequence);
+        return true;
+    }
 
     GroupId unreachable;
     std::vector<Wire::TaskBatch> batches;
     std::size_t stops = 0;
+    std::vector<std::pair<GroupId, std::uint64_t>> claimsEnds;
 };
 
 static JobRequest jobOf(std::uint32_t width)
--- a/tests/auto/platform/tst_jobgateway.cpp
+++ b/tests/auto/platform/tst_jobgateway.cpp
@@ -20,6 +20,7 @@
     }
     std::vector<Wire::Message> messages;
     bool isOwnerReachable(const Dispatch::GroupId &) const override { return true; }
+    bool sendClaimsEnd(const Dispatch::GroupId &, std::uint64_t) override { return true; }
 };
 
 struct Fixture
