Dispatch: a run is put down to the lifetime that lists it

Cause: an order names an executor's id, so a start that was sent before the owner knew of the restart is accepted by the new lifetime. When the owner learned of it, it counted all recorded runs as lost with the old lifetime, started the tasks elsewhere, and took the run in the new lifetime's listing for one whose end was known, since it compared the executor's id alone.

The simulated executors had hidden the fault: they bound orders to the lifetime that the owner knew, which the platform's do not. They now accept an order in whichever lifetime is up when it is sent.

Fix: each run records the lifetime to which its start was sent, or which has listed it. When a lifetime ends, only runs that it had listed are lost. The others wait for the first listing of the new one; what is not there is put down to the lifetime to which it was sent. Places that compared ids only now compare lifetimes too: known ends against listings and claims, claims of a run in a later lifetime than the listed one, clock readings in answers to starts and stops (a reading of the old lifetime, which is higher, was kept for good), and stops that the old lifetime had accepted.

crashBesideTheLossOfTheOwnerIsCounted did not announce registrations while it waited for a crash, for up to 5 s, although daemons read them all the time; with the executors as they are, a start was then made before a proof that was there. It announces them every 500 ms now; its checks are the same.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -164,15 +164,16 @@
     if (claimFoundRun(id, task))
         return;
     Task &added = m_tasks.emplace(id, std::move(task)).first->second;
-    if (entry.mayHaveStarted && !isCertainlyNotRunning(ExecutorId(entry.executor))) {
+    const Lifetime lifetime(entry.lifetime);
+    if (entry.mayHaveStarted && !isCertainlyNotRunning(ExecutorId(entry.executor), lifetime)) {
         added.state = TaskState::AwaitingListing;
         added.executor = ExecutorId(entry.executor);
-        added.lifetime = Lifetime(entry.lifetime);
+        added.lifetime = lifetime;
         m_awaitingListing.insert(id);
         return;
     }
     if (entry.mayHaveStarted)
-        previousRunGone(id, ExecutorId(entry.executor), Lifetime(entry.lifetime));
+        previousRunGone(id, ExecutorId(entry.executor), lifetime);
     enqueue(id, added);
 }
 
@@ -192,6 +193,13 @@
     return TaskReportState::Lost;
 }
 
+/// Whether a run that was reported as started in \a started may have ended in \a ended. Before its
+/// first listing, a run may be in a later lifetime than the one to which its start was sent.
+static bool maySucceed(Lifetime started, Lifetime ended)
+{
+    return started.value() == 0 || ended.value() == 0 || started <= ended;
+}
+
 /// Answers a submission with the end of the run if that is known. A submission that claims the task
 /// may cross the report of the run's end. Starting the task again would then run it twice, since
 /// the coordinator may have sent it elsewhere on that report.
@@ -202,8 +210,11 @@
     if (it == m_ended.end() || it->second.run.value() < entry.minRun)
         return false;
     // A job that was submitted again may have had a run of the same number elsewhere.
-    if (!entry.executor.empty() && it->second.executor.value() != entry.executor)
+    if (!entry.executor.empty()
+        && (it->second.executor.value() != entry.executor
+            || !maySucceed(Lifetime(entry.lifetime), it->second.lifetime))) {
         return false;
+    }
     const TaskReportState state = reportStateOf(it->second.end);
     const bool isCrossing = entry.mayHaveStarted && it->second.isReported;
     if (state == TaskReportState::Lost && !isCrossing)
@@ -447,6 +458,7 @@
     task.executor = executor.info().id;
     Run run;
     run.number = number;
+    run.lifetime = executor.lifetime();
     run.shape = task.batch->shape;
     run.isAlone = m_losses.isSuspect(id);
     run.since = now;
@@ -469,22 +481,23 @@
                {"token", m_token},
                {"waited", now - task.queuedAt}});
     m_port.startTask(executor.info(), order,
-                     [this, alive = m_isAlive, executorId = executor.info().id, id,
-                      number](const OrderResult &result) {
+                     [this, alive = m_isAlive, executorId = executor.info().id,
+                      lifetime = executor.lifetime(), id, number](const OrderResult &result) {
                          if (*alive)
-                             startAnswered(executorId, id, number, result);
+                             startAnswered(executorId, lifetime, id, number, result);
                      });
 }
 
-void ExecutorGroup::startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber number,
-                                  const OrderResult &result)
+/// \a lifetime is that to which the order was sent.
+void ExecutorGroup::startAnswered(const ExecutorId &executorId, Lifetime lifetime, const TaskId &id,
+                                  RunNumber number, const OrderResult &result)
 {
     ExecutorState *executor = findExecutor(executorId);
     if (!executor)
         return;
     const Base::TimePoint now = m_timers.now();
     if (result.clock)
-        executor->updateClock(*result.clock, now);
+        executor->updateClock(*result.clock, lifetime, now);
     Run *run = executor->find(id);
     if (!run || run->number != number)
         return; // its end was listed before the answer arrived
@@ -592,24 +605,25 @@
     run.isStopAccepted = false;
     run.stopSent = now;
     const ExecutorId executorId = executor.info().id;
-    m_port.stopTask(
-        executor.info(), {id, run.number, m_token},
-        [this, alive = m_isAlive, executorId, id, number = run.number](const OrderResult &result) {
-            if (*alive)
-                stopAnswered(executorId, id, number, result);
-        });
+    m_port.stopTask(executor.info(), {id, run.number, m_token},
+                    [this, alive = m_isAlive, executorId, lifetime = executor.lifetime(), id,
+                     number = run.number](const OrderResult &result) {
+                        if (*alive)
+                            stopAnswered(executorId, lifetime, id, number, result);
+                    });
 }
 
-void ExecutorGroup::stopAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber number,
-                                 const OrderResult &result)
+/// \a lifetime is that to which the order was sent.
+void ExecutorGroup::stopAnswered(const ExecutorId &executorId, Lifetime lifetime, const TaskId &id,
+                                 RunNumber number, const OrderResult &result)
 {
     ExecutorState *executor = findExecutor(executorId);
     Run *run = executor ? executor->find(id) : nullptr;
     if (!run || run->number != number)
         return;
     if (result.clock)
-        executor->updateClock(*result.clock, m_timers.now());
-    if (result.outcome == OrderOutcome::Accepted) {
+        executor->updateClock(*result.clock, lifetime, m_timers.now());
+    if (result.outcome == OrderOutcome::Accepted && lifetime == executor->lifetime()) {
         run->isStopAccepted = true;
         // From now on, a listing without the run proves that it has ended or never started.
         run->visibleFrom = m_lastHold + 1;
@@ -718,7 +732,7 @@
         executor->setLifetime(result.lifetime);
     m_listener.executorAnswered(executorId, executor->lifetime());
     if (result.order.clock)
-        executor->updateClock(*result.order.clock, now);
+        executor->updateClock(*result.order.clock, executor->lifetime(), now);
     listingReceived(*executor, sequence, result);
     releaseAwaitingListing();
     placeQueued();
@@ -791,6 +805,8 @@
         listed.insert(it.task);
         Run *run = executor.find(it.task);
         if (run && run->number == it.run) {
+            run->isListed = true;
+            run->lifetime = executor.lifetime();
             // Listings in transit may have been made before the run started.
             if (!std::exchange(run->isConfirmed, true))
                 run->visibleFrom = m_lastHold + 1;
@@ -808,7 +824,8 @@
         // A listing may be out of date: the run's end may have been listed since.
         const auto ended = m_ended.find(it.task);
         const bool isKnownEnd = ended != m_ended.end() && ended->second.run >= it.run
-                                && ended->second.executor == executor.info().id;
+                                && ended->second.executor == executor.info().id
+                                && ended->second.lifetime == executor.lifetime();
         if (run || isKnownEnd)
             continue;
         if (executor.hasListing && sequence != m_lastHold)
@@ -817,6 +834,8 @@
                   {{"task", toString(it.task)}, {"run", it.run}, {"executor", executor.info().id}});
         Run found;
         found.number = it.run;
+        found.lifetime = executor.lifetime();
+        found.isListed = true;
         found.state = RunState::Running;
         found.since = now;
         found.isClaimed = false;
@@ -838,17 +857,20 @@
         executor.runs().emplace(it.task, found);
     }
     std::vector<TaskId> gone;
+    std::vector<TaskId> lost; // with an earlier lifetime
     std::vector<TaskId> notStarted;
     for (const auto &[task, run] : executor.runs()) {
         if (listed.contains(task) || sequence < run.visibleFrom)
             continue;
+        const bool isOfEarlier = run.lifetime.value() > 0 && run.lifetime != executor.lifetime();
         if (run.isConfirmed || run.isStopAccepted)
-            gone.push_back(task);
+            (isOfEarlier ? lost : gone).push_back(task);
         else if (run.state == RunState::Unresolved)
             notStarted.push_back(task);
     }
     for (const TaskId &it : gone)
         runGone(executor, it, RunLoss::NotListed);
+    runsGone(executor, lost, RunLoss::ExecutorRestarted);
     for (const TaskId &it : notStarted) {
         // The start may still be carried out. After a stop the executor refuses it.
         Run *run = executor.find(it);
@@ -868,7 +890,8 @@
 {
     const auto known = m_ended.find(end.task);
     if (known == m_ended.end() || known->second.run <= end.run)
-        m_ended[end.task] = {end.run, end.end, m_timers.now(), executor.info().id, false};
+        m_ended[end.task] = {
+            end.run, end.end, m_timers.now(), executor.info().id, executor.lifetime(), false};
     Base::log(LogLevel::Debug, "endListed",
               {{"task", toString(end.task)},
                {"run", end.run},
@@ -952,7 +975,8 @@
                {"executor", executor.info().id},
                {"cause", causeName(cause)},
                {"elapsed", m_timers.now() - run->since}});
-    m_ended[id] = {run->number, RunEnd::LeaseExpired, m_timers.now(), executor.info().id, false};
+    m_ended[id] = {run->number,        RunEnd::LeaseExpired, m_timers.now(),
+                   executor.info().id, run->lifetime,        false};
     executor.runs().erase(id);
     loadChanged();
     ++m_counters.lost;
@@ -963,32 +987,59 @@
 void ExecutorGroup::runsGone(ExecutorState &executor, const std::vector<TaskId> &tasks,
                              RunLoss cause)
 {
-    const bool isExecutorLost =
-        cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted;
-    if (isExecutorLost && !tasks.empty()) {
-        m_counters.lostWithExecutor += tasks.size();
-        ExecutorLoss loss;
-        loss.executor = executor.info().id;
-        loss.lifetime = executor.lifetime();
-        loss.address = executor.info().address;
-        loss.service = executor.info().service;
+    if (cause == RunLoss::ExecutorSilent || cause == RunLoss::ExecutorRestarted) {
+        std::map<Lifetime, std::vector<TaskId>> byLifetime;
         for (const TaskId &it : tasks)
-            loss.tasks.push_back({it, executor.find(it)->isConfirmed});
-        if (executor.silentSince)
-            loss.silence = m_timers.now() - *executor.silentSince;
-        if (executor.info().draining)
-            loss.grounds = LossGrounds::Draining;
-        else if (cause == RunLoss::ExecutorRestarted)
-            loss.grounds = LossGrounds::OtherLifetime;
-        else if (executor.isDisconnected)
-            loss.grounds = LossGrounds::Disconnected;
+            byLifetime[executor.find(it)->lifetime].push_back(it);
         // Before the reports, so that coordinators know of the loss when they decide on the task.
-        m_listener.executorLost(loss);
+        for (const auto &[lifetime, lost] : byLifetime)
+            reportLoss(executor, lifetime, lost, cause);
     }
     for (const TaskId &it : tasks)
         runGone(executor, it, cause);
 }
 
+void ExecutorGroup::reportLoss(const ExecutorState &executor, Lifetime lifetime,
+                               const std::vector<TaskId> &tasks, RunLoss cause)
+{
+    m_counters.lostWithExecutor += tasks.size();
+    ExecutorLoss loss;
+    loss.executor = executor.info().id;
+    loss.lifetime = lifetime;
+    loss.address = executor.info().address;
+    loss.service = executor.info().service;
+    for (const TaskId &it : tasks)
+        loss.tasks.push_back({it, executor.runs().at(it).isConfirmed});
+    if (executor.silentSince)
+        loss.silence = m_timers.now() - *executor.silentSince;
+    if (executor.info().draining)
+        loss.grounds = LossGrounds::Draining;
+    else if (cause == RunLoss::ExecutorRestarted)
+        loss.grounds = LossGrounds::OtherLifetime;
+    else if (executor.isDisconnected)
+        loss.grounds = LossGrounds::Disconnected;
+    m_listener.executorLost(loss);
+}
+
+/// A start that no listing of the ended lifetime contains may have been accepted by the \a next
+/// one, whose first listing shows it. If an executor of another id answers (\a next is 0), that
+/// holds for unanswered starts only.
+void ExecutorGroup::runsOfEndedLifetimeGone(ExecutorState &executor, Lifetime next)
+{
+    std::vector<TaskId> lost;
+    for (auto &[task, run] : executor.runs()) {
+        const bool isUnanswered = run.state == RunState::Starting;
+        if (run.isListed || (next.value() == 0 && !isUnanswered)) {
+            lost.push_back(task);
+            continue;
+        }
+        run.isStopAccepted = false;
+        if (!isUnanswered)
+            run.visibleFrom = m_lastHold + 1;
+    }
+    runsGone(executor, lost, RunLoss::ExecutorRestarted);
+}
+
 /// \a lifetime is that of the executor now; 0 if only the end of the previous one is known.
 void ExecutorGroup::executorRestarted(ExecutorState &executor, Lifetime lifetime)
 {
@@ -1000,10 +1051,7 @@
               {{"executor", executor.info().id},
                {"runs", executor.runs().size()},
                {"lifetime", lifetime}});
-    std::vector<TaskId> lost;
-    for (const auto &[task, run] : executor.runs())
-        lost.push_back(task);
-    runsGone(executor, lost, RunLoss::ExecutorRestarted);
+    runsOfEndedLifetimeGone(executor, lifetime);
     m_listener.executorEnded(executor.info().id, executor.lifetime());
     executor.beginLifetime(lifetime);
     if (!executor.hasEnded())
@@ -1151,16 +1199,17 @@
 }
 
 /// Whether a task of a previous owner that is in no listing is certainly not running any more. It
-/// was last reported on \a executor, or not reported as started if that is empty. An executor that
-/// this daemon does not know, because its registration has expired or not yet arrived, may still
-/// run the task until the lease of the previous owner expires.
-bool ExecutorGroup::isCertainlyNotRunning(const ExecutorId &executor) const
+/// was last reported on \a executor, in \a lifetime if that is known, or not reported as started if
+/// that is empty. An executor that this daemon does not know, because its registration has expired
+/// or not yet arrived, may still run the task until the lease of the previous owner expires.
+bool ExecutorGroup::isCertainlyNotRunning(const ExecutorId &executor, Lifetime lifetime) const
 {
     if (isPreviousOwnerLeaseExpired())
         return true;
     if (!executor.isEmpty()) {
         const auto it = m_executors.find(executor);
-        return it != m_executors.end() && it->second.hasListing;
+        return it != m_executors.end() && it->second.hasListing
+               && lifetime <= it->second.lifetime();
     }
     return isExecutorListStable()
            && std::all_of(m_executors.begin(), m_executors.end(),
@@ -1207,17 +1256,19 @@
     for (const TaskId &it : m_awaitingListing) {
         const auto task = m_tasks.find(it);
         EP_ASSERT(task != m_tasks.end(), continue);
-        if (isCertainlyNotRunning(task->second.executor))
+        if (isCertainlyNotRunning(task->second.executor, task->second.lifetime))
             known.push_back(it);
     }
     for (const TaskId &it : known) {
         m_awaitingListing.erase(it);
         Task &task = m_tasks.at(it);
         const auto ended = m_ended.find(it);
-        const bool isKnownResult =
-            ended != m_ended.end() && reportStateOf(ended->second.end) != TaskReportState::Lost
-            && ended->second.run.value() >= task.nextRun
-            && (task.executor.isEmpty() || task.executor == ended->second.executor);
+        const bool isKnownResult = ended != m_ended.end()
+                                   && reportStateOf(ended->second.end) != TaskReportState::Lost
+                                   && ended->second.run.value() >= task.nextRun
+                                   && (task.executor.isEmpty()
+                                       || (task.executor == ended->second.executor
+                                           && maySucceed(task.lifetime, ended->second.lifetime)));
         if (isKnownResult) {
             finishTask(it, ended->second.run, reportStateOf(ended->second.end), {});
             continue;
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -138,6 +138,7 @@
         RunEnd end = RunEnd::Done;
         Base::TimePoint time;
         ExecutorId executor;
+        Lifetime lifetime;       // of the executor; 0 if unknown
         bool isReported = false; // to a coordinator, which may then have started it elsewhere
     };
 
@@ -164,13 +165,13 @@
     void releaseReservation();
     void checkReservation();
     void start(ExecutorState &executor, const TaskId &id, Task &task);
-    void startAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
-                       const OrderResult &result);
+    void startAnswered(const ExecutorId &executorId, Lifetime lifetime, const TaskId &id,
+                       RunNumber run, const OrderResult &result);
     void orderRefused(ExecutorState &executor, const TaskId &id, RunNumber run);
     void requeue(const TaskId &id, bool mayHaveStarted);
     void stopRun(ExecutorState &executor, const TaskId &id, Run &run);
-    void stopAnswered(const ExecutorId &executorId, const TaskId &id, RunNumber run,
-                      const OrderResult &result);
+    void stopAnswered(const ExecutorId &executorId, Lifetime lifetime, const TaskId &id,
+                      RunNumber run, const OrderResult &result);
     void hold(ExecutorState &executor, bool isImmediate);
     void holdAnswered(const ExecutorId &executorId, bool isImmediate, std::uint64_t sequence,
                       Lifetime lifetime, Base::TimePoint sent, const HoldResult &result);
@@ -183,6 +184,9 @@
     void endReceived(ExecutorState &executor, const ListedEnd &end);
     void runGone(ExecutorState &executor, const TaskId &id, RunLoss cause);
     void runsGone(ExecutorState &executor, const std::vector<TaskId> &tasks, RunLoss cause);
+    void reportLoss(const ExecutorState &executor, Lifetime lifetime,
+                    const std::vector<TaskId> &tasks, RunLoss cause);
+    void runsOfEndedLifetimeGone(ExecutorState &executor, Lifetime next);
     void executorRestarted(ExecutorState &executor, Lifetime lifetime);
     void updateEstimates(ExecutorState &executor, const TaskId &id, const Run &run, RunEnd end);
     void finishTask(const TaskId &id, RunNumber run, Wire::TaskReportState state,
@@ -196,7 +200,7 @@
     bool isTokenCheckDue(const ExecutorState &executor) const;
     void fence();
     bool isPreviousOwnerLeaseExpired() const;
-    bool isCertainlyNotRunning(const ExecutorId &executor) const;
+    bool isCertainlyNotRunning(const ExecutorId &executor, Lifetime lifetime) const;
     bool isExecutorListStable() const;
     void releaseAwaitingListing();
     void previousRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime);
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -20,7 +20,6 @@
     m_lifetime = lifetime;
     m_hasEnded = lifetime.value() == 0;
     m_clock.reset();
-    m_runs.clear();
     seenUpTo = EndSequence();
     hasListing = false;
     hasUnacknowledgedEnds = false;
@@ -30,8 +29,11 @@
     m_unusableUntil = {};
 }
 
-void ExecutorState::updateClock(ExecutorTime clock, Base::TimePoint now)
+void ExecutorState::updateClock(ExecutorTime clock, Lifetime lifetime, Base::TimePoint now)
 {
+    // The clock of another lifetime, whose readings may be higher.
+    if (lifetime != m_lifetime)
+        return;
     // An answer that arrives out of order has an earlier reading.
     if (m_clock && *m_clock > clock)
         return;
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -20,6 +20,12 @@
 struct Run
 {
     RunNumber number;
+    /// Lifetime of the executor to which the start was sent, or which has listed the run. 0 if it
+    /// was not known.
+    Lifetime lifetime;
+    /// Listed in that lifetime. Until then a later one may have accepted the start: orders name
+    /// the executor, not its lifetime.
+    bool isListed = false;
     Resources shape; // empty if the run is not claimed
     RunState state = RunState::Starting;
     bool isClaimed = true;    // false: found in a listing, and no coordinator has claimed it yet
@@ -42,8 +48,8 @@
     const ExecutorInfo &info() const { return m_info; }
     void setInfo(const ExecutorInfo &info) { m_info = info; }
 
-    /// Discards everything that is known about the earlier lifetime. \a lifetime is 0 if the next
-    /// one is not known.
+    /// Discards everything that is known about the earlier lifetime but the recorded runs.
+    /// \a lifetime is 0 if the next one is not known.
     void beginLifetime(Lifetime lifetime);
     /// The last lifetime that is known to have ended.
     Lifetime endedLifetime() const { return m_endedLifetime; }
@@ -58,7 +64,8 @@
     }
 
     // Clock and lease.
-    void updateClock(ExecutorTime clock, Base::TimePoint now);
+    /// \a lifetime is that to which the answered order was sent.
+    void updateClock(ExecutorTime clock, Lifetime lifetime, Base::TimePoint now);
     /// Length of the lease to be granted at \a now. 0 if none of the runs has been claimed for a
     /// while.
     Base::Duration leaseLength(Base::TimePoint now) const;
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -484,9 +484,11 @@
     {
         if (delivery.isLost)
             return;
+        // Orders name the id only, so they reach whichever lifetime is up when they are sent.
+        const Lifetime lifetime = m_executors.at(executor.id).info.lifetime;
         m_executors.m_clock.schedule(
             delivery.requestDelay + delivery.lateBy,
-            [this, id = executor.id, lifetime = executor.lifetime, action, late = delivery.lateBy] {
+            [this, id = executor.id, lifetime, action, late = delivery.lateBy] {
                 // A late order has already reached the executor, so a partition does not affect it.
                 const FakeExecutors::Executor &it = m_executors.at(id);
                 const bool isDelivered =
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -325,6 +325,29 @@
     check();
 }
 
+// The new lifetime of an executor accepted starts before its owner knew of it. The owner put them
+// down to the lifetime that had ended and started the tasks elsewhere too.
+BOOST_AUTO_TEST_CASE(startAcceptedByANewLifetimeIsPutDownToTheOldOne)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(500ms, RunEnd::Done);
+    };
+    for (const bool isAnnounced : {false, true}) {
+        const std::uint64_t before = executors.startCount;
+        for (int i = 0; i < 4; ++i)
+            executors.restart(ExecutorId("a-x" + std::to_string(i)));
+        submit("a1", isAnnounced ? "announced" : "listed", 8, {6800, 64, 0}, 500ms, 6s);
+        if (isAnnounced) {
+            run(1ms);
+            announceExecutors();
+        }
+        run(2s);
+        BOOST_TEST(executors.startCount == before + 8);
+        check();
+    }
+    BOOST_TEST(count(JobOutcome::Completed) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(crashedExecutorIsGivenUpAfterItsLease)
 {
     executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -278,8 +278,11 @@
     submitFatal("c1");
     for (int i = 0; i < 12; ++i) {
         const std::size_t before = crashCount();
-        for (int j = 0; j < 1000 && crashCount() == before; ++j)
+        for (int j = 0; j < 1000 && crashCount() == before; ++j) {
             run(5ms);
+            if (j % 100 == 0)
+                announceExecutors();
+        }
         for (const char *group : {"a", "b"}) {
             for (const std::string &it : owners(group)) {
                 kill(it);
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -50,13 +50,25 @@
     BOOST_TEST(executor.runFailed(JobId("third"), T0));
 }
 
+// A clock reading of the lifetime before made leases end too late.
+BOOST_AUTO_TEST_CASE(clockOfAnEndedLifetimeIsIgnored)
+{
+    ExecutorInfo info;
+    info.lifetime = Lifetime(1);
+    ExecutorState executor(info);
+    executor.beginLifetime(Lifetime(2));
+    executor.updateClock(ExecutorTime(50'000), Lifetime(1), T0);
+    executor.updateClock(ExecutorTime(10), Lifetime(2), T0);
+    BOOST_TEST(executor.nextLeaseEnd(T0, 1s)->count() == 1010);
+}
+
 BOOST_AUTO_TEST_CASE(leaseEndFollowsTheExecutorsClock)
 {
     ExecutorState executor{ExecutorInfo()};
     BOOST_TEST(!executor.nextLeaseEnd(T0, Constants::LEASE_MS).has_value());
-    executor.updateClock(ExecutorTime(5000), T0);
+    executor.updateClock(ExecutorTime(5000), Lifetime(), T0);
     BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms, Constants::LEASE_MS)->count() == 6100);
-    executor.updateClock(ExecutorTime(4000), T0 + 50ms); // arrives out of order
+    executor.updateClock(ExecutorTime(4000), Lifetime(), T0 + 50ms); // arrives out of order
     BOOST_TEST(executor.nextLeaseEnd(T0 + 100ms, Constants::LEASE_MS)->count() == 6100);
 }
 
