Dispatch: no new lease while nobody needs a run on the executor

Cause: a new owner stopped runs that no coordinator claimed 400 ms after it had found them, and extended their lease until then: by 250 ms, or in full if another run on the executor was claimed. Each owner that followed began to count anew, so that the end of the runs was tied to the last loss of an owner and not to that of their coordinator, whose caller submits the job again 1.3 s after it.

Fix: the lease of an executor is not extended, and nothing is started there, while it may have a run that no coordinator needs, which is one that is not claimed, or one that is cancelled and whose stop is not accepted yet. So all its runs end within the lease that was granted before the loss was noticed, 1.27 s after it at most, however many owners follow. So that claimed runs beside it do not end too, owners stop unclaimed runs once all live daemons have stated the end of their claims, usually 0.1 s after the claim; 400 ms remain the limit. UNCLAIMED_LEASE_MS is not needed any more.

A stop that does not get through while listings do, as with orders that are carried out late, was another way to keep such a run alive and ends likewise.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -35,13 +35,11 @@
 constexpr milliseconds EXECUTOR_LOST_SILENCE_MS{300};
 /// A stop that was not accepted is sent again after this: the time-out of an answer and a margin.
 constexpr milliseconds STOP_RETRY_MS{300};
-/// Runs that no coordinator claims after a takeover are stopped after this; coordinators claim
-/// their runs within a heartbeat and the delay of a message.
+/// Runs that no coordinator claims after a takeover are stopped after this, or as soon as all live
+/// daemons have stated that they have claimed theirs.
 constexpr milliseconds RUN_CLAIM_TIMEOUT_MS{400};
-/// The lease of an executor with no claimed run is extended up to this time after they were found.
-/// With the lease of the previous owner, runs of lost coordinators then end before their callers
-/// submit the jobs again, 1.3 s after a loss.
-constexpr milliseconds UNCLAIMED_LEASE_MS{250};
+/// A new owner waits at least this long for daemons from which it has not heard yet.
+constexpr milliseconds MIN_CLAIM_WAIT_MS{100};
 /// An executor that refuses an order as unhealthy or for lack of resources gets no work for this
 /// long.
 constexpr milliseconds BACK_OFF_MS{300};
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -392,6 +392,13 @@
     broadcast(m_losses.ended(executor, lifetime));
 }
 
+std::set<Base::DaemonId> DispatchNode::liveDaemons() const
+{
+    std::set<Base::DaemonId> daemons = m_ownership.livePeers();
+    daemons.insert(m_self);
+    return daemons;
+}
+
 void DispatchNode::broadcast(const ExecutorLosses::Message &message)
 {
     if (!message)
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -74,6 +74,7 @@
     void executorLost(const ExecutorLoss &loss) override;
     void executorAnswered(const ExecutorId &executor, Lifetime lifetime) override;
     void executorEnded(const ExecutorId &executor, Lifetime lifetime) override;
+    std::set<Base::DaemonId> liveDaemons() const override;
     void groupClaimed(const GroupId &group, FencingToken token) override;
     void groupLost(const GroupId &group) override;
     void groupOwnerChanged(const GroupId &group) override;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -242,7 +242,7 @@
     task.nextRun = std::max(task.nextRun, minRun);
     if (task.state != TaskState::OnExecutor)
         return true;
-    const ExecutorState *executor = findExecutor(task.executor);
+    ExecutorState *executor = findExecutor(task.executor);
     EP_ASSERT(executor, return true);
     const auto run = executor->runs().find(id);
     EP_ASSERT(run != executor->runs().end(), return true);
@@ -250,6 +250,7 @@
         report(from, id, run->second.number, TaskReportState::Started, task.executor);
     // If the run is being stopped, the task is started again after its end.
     task.isCancelled = false;
+    run->second.isCancelled = false;
     return true;
 }
 
@@ -268,7 +269,7 @@
         added.executor = executorId;
         added.nextRun = std::max(added.nextRun, run->number.value() + 1);
         report(task.coordinator, id, run->number, TaskReportState::Started, executorId);
-        // The lease of unclaimed runs is short.
+        // The lease was not extended before.
         if (!executor.isImmediateHoldPending)
             hold(executor, true);
         return true;
@@ -647,15 +648,13 @@
     HoldOrder order;
     order.token = m_token;
     order.seenUpTo = executor.seenUpTo;
-    // The lease is also extended for found runs, until their coordinators have had time to claim
-    // them. An executor that does not answer gets no new lease, so that its runs certainly end
-    // in time.
+    // An executor that does not answer gets no new lease, so that its runs certainly end in time.
     if (!executor.runs().empty() && executor.missedAnswers == 0) {
-        const Base::Duration length = executor.leaseLength(now);
-        if (length.count() > 0)
-            order.leaseEnd = executor.nextLeaseEnd(now, length);
+        const bool isExtended = executor.mayExtendLease();
+        if (isExtended)
+            order.leaseEnd = executor.nextLeaseEnd(now, Constants::LEASE_MS);
         // Also if the order has none: a lease of the previous owner may be in force.
-        if (length.count() > 0 || now > executor.leaseEnd())
+        if (isExtended || now > executor.leaseEnd())
             executor.leaseSent(now);
         if (!isImmediate)
             order.wait = Constants::HOLD_WAIT_MS;
@@ -1073,6 +1072,7 @@
     EP_ASSERT(executor, return);
     Run *run = executor->find(id);
     EP_ASSERT(run, return);
+    run->isCancelled = true;
     // A run whose start is not answered yet is stopped on the answer.
     if (run->state == RunState::Running)
         stopRun(*executor, id, *run);
@@ -1101,6 +1101,8 @@
 {
     std::uint64_t &known = m_firstSequences[coordinator];
     known = std::max(known, firstSequence);
+    m_claimants.insert(coordinator);
+    checkClaims();
     std::vector<TaskId> ids;
     for (const auto &[id, task] : m_tasks) {
         if (task.coordinator == coordinator && !task.isCancelled
@@ -1287,13 +1289,32 @@
         hold(executor, false);
 }
 
+/// Runs of a previous owner that are not claimed belong to lost coordinators once all live ones
+/// have claimed theirs.
+void ExecutorGroup::checkClaims()
+{
+    if (m_areClaimsComplete || m_timers.now() - m_claimed < Constants::MIN_CLAIM_WAIT_MS)
+        return;
+    const std::set<Base::DaemonId> live = m_listener.liveDaemons();
+    if (!std::includes(m_claimants.begin(), m_claimants.end(), live.begin(), live.end()))
+        return;
+    m_areClaimsComplete = true;
+    Base::log(LogLevel::Info, "claimsComplete",
+              {{"group", m_group},
+               {"token", m_token},
+               {"daemons", live.size()},
+               {"elapsed", m_timers.now() - m_claimed}});
+}
+
 /// Whether a stop has to be sent, for the first time or again.
-static bool isStopDue(const Run &run, Base::TimePoint now)
+bool ExecutorGroup::isStopDue(const Run &run) const
 {
+    const Base::TimePoint now = m_timers.now();
     const bool isRepeatDue = run.state == RunState::Stopping && !run.isStopAccepted
                              && now - run.stopSent > Constants::STOP_RETRY_MS;
-    const bool isUnclaimed = run.state == RunState::Running && !run.isClaimed
-                             && now - run.since > Constants::RUN_CLAIM_TIMEOUT_MS;
+    const bool isUnclaimed =
+        run.state == RunState::Running && !run.isClaimed
+        && (m_areClaimsComplete || now - run.since > Constants::RUN_CLAIM_TIMEOUT_MS);
     return isRepeatDue || isUnclaimed;
 }
 
@@ -1330,7 +1351,7 @@
     for (auto &[id, run] : executor.runs()) {
         if (isLeaseExpired && run.state != RunState::Starting)
             lapsed.push_back(id);
-        else if (isStopDue(run, now))
+        else if (isStopDue(run))
             stopRun(executor, id, run);
         else if (executor.missedAnswers == 0 && isStraggler(run, now))
             stopStraggler(executor, id, run);
@@ -1364,6 +1385,7 @@
                 executor.silentSince = now;
         }
     }
+    checkClaims();
     const bool hasRuns = m_contestedUntil > now && runCount() > 0;
     for (auto &[id, executor] : m_executors) {
         checkRuns(executor);
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -33,6 +33,8 @@
     virtual void executorAnswered(const ExecutorId &executor, Lifetime lifetime) = 0;
     /// This lifetime of an executor is known to have ended.
     virtual void executorEnded(const ExecutorId &executor, Lifetime lifetime) = 0;
+    /// This daemon and its peers that do not count as lost.
+    virtual std::set<Base::DaemonId> liveDaemons() const = 0;
 };
 
 /// Counters of one group since its claim.
@@ -151,6 +153,8 @@
     bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
     void cancelTask(const TaskId &id, Task &task);
     void cancelTasks(const std::vector<TaskId> &ids);
+    void checkClaims();
+    bool isStopDue(const Run &run) const;
     bool claimFoundRun(const TaskId &id, const Task &task);
     bool attachTask(const Base::DaemonId &from, const std::shared_ptr<const BatchInfo> &batch,
                     const TaskId &id, std::uint64_t minRun);
@@ -236,6 +240,8 @@
     std::map<Base::DaemonId, std::uint64_t> m_batchesSeen;
     // By coordinator: earlier batches are superseded by its claims.
     std::map<Base::DaemonId, std::uint64_t> m_firstSequences;
+    std::set<Base::DaemonId> m_claimants; // have claimed all their tasks since the group's claim
+    bool m_areClaimsComplete = false;     // no coordinator needs a run that is not claimed
     std::map<std::uint32_t, double> m_estimateBias; // by priority, as a logarithm
     std::map<std::pair<Base::DaemonId, JobId>, Wire::TaskReports> m_reports; // not sent yet
     std::uint64_t m_lastHold = 0; // number of the hold sent last
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -41,15 +41,12 @@
     m_clockUpdated = now;
 }
 
-Base::Duration ExecutorState::leaseLength(Base::TimePoint now) const
+bool ExecutorState::mayExtendLease() const
 {
-    Base::TimePoint found;
-    for (const auto &[task, run] : m_runs) {
-        if (run.isClaimed)
-            return Constants::LEASE_MS;
-        found = std::max(found, run.since);
-    }
-    return std::max(Base::Duration(0), found + Constants::UNCLAIMED_LEASE_MS - now);
+    return std::none_of(m_runs.begin(), m_runs.end(), [](const auto &it) {
+        const Run &run = it.second;
+        return (!run.isClaimed || run.isCancelled) && !run.isStopAccepted;
+    });
 }
 
 std::optional<ExecutorTime> ExecutorState::nextLeaseEnd(Base::TimePoint now,
@@ -73,7 +70,7 @@
 
 Resources ExecutorState::freeResources() const
 {
-    if (!hasListing || isReserved)
+    if (!hasListing || isReserved || !mayExtendLease())
         return {};
     Resources used;
     for (const auto &[task, run] : m_runs) {
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -31,8 +31,9 @@
     bool isClaimed = true;    // false: found in a listing, and no coordinator has claimed it yet
     bool isConfirmed = false; // accepted or listed; until then the start may be carried out late
     bool isStopAccepted = false;
-    bool isAlone = false;  // no other run may start on the executor
-    Base::TimePoint since; // start sent, or first listed
+    bool isCancelled = false; // its task is not needed any more
+    bool isAlone = false;     // no other run may start on the executor
+    Base::TimePoint since;    // start sent, or first listed
     Base::TimePoint stopSent;
     Base::Duration expected{0}; // run time, from the estimate and the executor's speed
     /// Number of the first hold whose listing contains the run if it is active.
@@ -66,9 +67,10 @@
     // Clock and lease.
     /// \a lifetime is that to which the answered order was sent.
     void updateClock(ExecutorTime clock, Lifetime lifetime, Base::TimePoint now);
-    /// Length of the lease to be granted at \a now. 0 if none of the runs has been claimed for a
-    /// while.
-    Base::Duration leaseLength(Base::TimePoint now) const;
+    /// Whether the lease, which holds for all runs there, may be extended. Not while a run may be
+    /// active that no coordinator needs: its caller may submit the job again 1.3 s after the loss
+    /// of its coordinator, however many owners follow each other until then.
+    bool mayExtendLease() const;
     /// End, on the executor's clock, of a lease of \a length that is granted at \a now. No value
     /// until the clock is known.
     std::optional<ExecutorTime> nextLeaseEnd(Base::TimePoint now, Base::Duration length) const;
@@ -82,7 +84,7 @@
     const std::map<TaskId, Run> &runs() const { return m_runs; }
     Run *find(const TaskId &task);
     /// Resources that are certainly free. None while a run of unknown shape is there, or one that
-    /// has to be alone.
+    /// has to be alone, or the lease, which a start extends, may not be extended.
     Resources freeResources() const;
     /// Number of runs of the step that \a task belongs to.
     std::uint32_t runsOfStep(const TaskId &task) const;
--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -62,6 +62,16 @@
     return m_timers.now() - p.lastHeard <= silenceLimit(p);
 }
 
+std::set<Base::DaemonId> GroupOwnership::livePeers() const
+{
+    std::set<Base::DaemonId> peers;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.isLost && isAlive(id))
+            peers.insert(id);
+    }
+    return peers;
+}
+
 Base::Duration GroupOwnership::silenceLimit(const Peer &peer) const
 {
     if (isDisconnected(peer))
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -92,6 +92,7 @@
     /// The token under which owner() has claimed \a group.
     std::optional<FencingToken> token(const GroupId &group) const;
     bool isAlive(const Base::DaemonId &peer) const;
+    std::set<Base::DaemonId> livePeers() const;
     std::vector<Base::DaemonId> peersToReset();
     /// A batch of \a peer was ignored; the next state message makes the peer claim its tasks again.
     void recordDroppedTasks(const Base::DaemonId &peer);
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -165,6 +165,37 @@
     check();
 }
 
+// Each owner that followed waited anew for the claims of a lost coordinator, and extended the
+// leases of its runs if others on the executor were claimed.
+BOOST_AUTO_TEST_CASE(runsOfALostCoordinatorOutlastSeveralOwners)
+{
+    addDaemon("a3", "a");
+    startDaemon("a3");
+    run(2s);
+    executors.chooseRun = [](const StartOrder &order, const ExecutorInfo &) {
+        const bool isFiller = order.task.job == JobId("filler");
+        return std::pair<Base::Duration, RunEnd>(isFiller ? 900ms : 5s, RunEnd::Done);
+    };
+    submit("b1", "filler", 8, {6800, 64, 0}, 900ms, 20s); // fills the executors of domain b
+    run(50ms);
+    submit("b1", "kept", 4, {9000, 64, 0}, 5s, 20s); // one on each executor of domain a
+    run(50ms);
+    submit(ownerOf("a"), "job", 4, {6800, 64, 0}, 5s, 20s);
+    run(100ms);
+    BOOST_TEST(executors.startCount == 16U);
+    const Base::TimePoint lost = clock.now();
+    for (const Base::Duration it : {0ms, 550ms, 1100ms}) {
+        run(lost + it - clock.now());
+        for (const std::string &owner : owners("a"))
+            kill(owner);
+    }
+    run(lost + 1300ms - clock.now());
+    submit("b2", "job", 4, {6800, 64, 0}, 5s, 20s);
+    run(6s);
+    BOOST_TEST(count(JobOutcome::Completed) == 3U);
+    check();
+}
+
 BOOST_AUTO_TEST_CASE(jobsAreServedSoonAfterTheOwnerIsKilled)
 {
     const std::string owner = ownerOf("a");
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -1023,6 +1023,7 @@
     void executorLost(const ExecutorLoss &) override {}
     void executorAnswered(const ExecutorId &, Lifetime) override {}
     void executorEnded(const ExecutorId &, Lifetime) override {}
+    std::set<Base::DaemonId> liveDaemons() const override { return {}; }
 };
 
 // An executor that has been replaced at its address was asked for its runs 20 times a second, as
