Dispatch: stop cancelled tasks whose start is not answered yet

Cause: such a run was stopped when its start was answered, and not at all if the answer was lost; the listing request that followed extended its lease.

Evidence: cancelledTaskWithoutAnAnswerToItsStartRunsOn fails before: neither of two runs is stopped.

Fix: the stop is sent at once. An executor that gets it before the start refuses the start. An answer to the start does not repeat it.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -512,7 +512,7 @@
         const auto task = m_tasks.find(id);
         if (task != m_tasks.end()) {
             report(task->second.coordinator, id, number, TaskReportState::Started, executorId);
-            if (task->second.isCancelled)
+            if (task->second.isCancelled && run->state == RunState::Running)
                 stopRun(*executor, id, *run);
         }
         if (!executor->isWaitingHoldPending)
@@ -1073,8 +1073,8 @@
     Run *run = executor->find(id);
     EP_ASSERT(run, return);
     run->isCancelled = true;
-    // A run whose start is not answered yet is stopped on the answer.
-    if (run->state == RunState::Running)
+    // Also if the start is not answered yet: a start that arrives after its stop is refused.
+    if (run->state != RunState::Stopping)
         stopRun(*executor, id, *run);
 }
 
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -196,6 +196,26 @@
     check();
 }
 
+// The stop of a run whose start was unanswered was sent after the answer only, and each listing
+// request extended its lease until then.
+BOOST_AUTO_TEST_CASE(cancelledTaskWithoutAnAnswerToItsStartRunsOn)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(5s, RunEnd::Done);
+    };
+    executors.chooseDelivery = [] {
+        OrderDelivery delivery;
+        delivery.isAnswerLost = true;
+        return delivery;
+    };
+    submit("a1", "job", 2, {6800, 64, 0}, 5s, 20s);
+    run(20ms);
+    BOOST_TEST(executors.startCount == 2U);
+    node("a1").jobs().cancel(JobId("job"));
+    run(100ms);
+    BOOST_TEST(executors.endCounts[RunEnd::Stopped] == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(jobsAreServedSoonAfterTheOwnerIsKilled)
 {
     const std::string owner = ownerOf("a");
