Dispatch: the owner stops runs at the deadline of their job

Cause: a job ends at its deadline at its coordinator, which tells the owners by a message. If the coordinator is paused or cut off just then, its runs went on, with leases that were extended, until the owner noticed the loss: up to 0.5 s, and 0.9 s between failure domains of a large deployment. With the lease that is 1.5 to 1.9 s after the moment at which the caller gave up, and 1.3 s after it the caller submits the job again.

Evidence: runOutlastsTheDeadlineOfItsJob fails before: neither of two runs is stopped 150 ms after the deadline.

Fix: batches state the time that is left until the deadline, so the owner ends runs by itself. It already did so with queued tasks.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -251,6 +251,7 @@
     // If the run is being stopped, the task is started again after its end.
     task.isCancelled = false;
     run->second.isCancelled = false;
+    run->second.deadline = batch->deadline;
     return true;
 }
 
@@ -264,6 +265,7 @@
         run->isClaimed = true;
         run->isAlone = m_losses.isSuspect(id);
         run->shape = task.batch->shape;
+        run->deadline = task.batch->deadline;
         Task &added = m_tasks.emplace(id, task).first->second;
         added.state = TaskState::OnExecutor;
         added.executor = executorId;
@@ -463,6 +465,7 @@
     run.shape = task.batch->shape;
     run.isAlone = m_losses.isSuspect(id);
     run.since = now;
+    run.deadline = task.batch->deadline;
     const double expectedMs = std::exp(estimateLogMs(*task.batch)) / executor.speed();
     run.expected = std::chrono::microseconds(static_cast<std::int64_t>(expectedMs * 1000));
     run.visibleFrom = UINT64_MAX;
@@ -845,6 +848,7 @@
             found.isClaimed = true;
             found.isAlone = m_losses.isSuspect(it.task);
             found.shape = task->second.batch->shape;
+            found.deadline = task->second.batch->deadline;
             m_queue.remove(it.task);
             m_awaitingListing.erase(it.task);
             task->second.state = TaskState::OnExecutor;
@@ -1348,9 +1352,12 @@
     const Base::TimePoint now = m_timers.now();
     const bool isLeaseExpired = now > executor.leaseEnd();
     std::vector<TaskId> lapsed;
+    std::vector<TaskId> expired;
     for (auto &[id, run] : executor.runs()) {
         if (isLeaseExpired && run.state != RunState::Starting)
             lapsed.push_back(id);
+        else if (run.isClaimed && !run.isCancelled && now >= run.deadline)
+            expired.push_back(id);
         else if (isStopDue(run))
             stopRun(executor, id, run);
         else if (executor.missedAnswers == 0 && isStraggler(run, now))
@@ -1360,6 +1367,12 @@
     const bool isSilent =
         executor.silentSince && now - *executor.silentSince >= Constants::EXECUTOR_LOST_SILENCE_MS;
     runsGone(executor, lapsed, isSilent ? RunLoss::ExecutorSilent : RunLoss::NotRenewed);
+    // The coordinator answers its caller at the deadline, but its stop may be lost.
+    for (const TaskId &it : expired) {
+        const auto task = m_tasks.find(it);
+        EP_ASSERT(task != m_tasks.end(), continue);
+        cancelTask(it, task->second);
+    }
 }
 
 bool ExecutorGroup::isTokenCheckDue(const ExecutorState &executor) const
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -32,6 +32,7 @@
     bool isConfirmed = false; // accepted or listed; until then the start may be carried out late
     bool isStopAccepted = false;
     bool isCancelled = false; // its task is not needed any more
+    Base::TimePoint deadline; // after which no caller waits for it; epoch if not claimed
     bool isAlone = false;     // no other run may start on the executor
     Base::TimePoint since;    // start sent, or first listed
     Base::TimePoint stopSent;
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -216,6 +216,22 @@
     BOOST_TEST(executors.endCounts[RunEnd::Stopped] == 2U);
 }
 
+// The end of a job at its deadline is told to the owner by a message, which may be lost with the
+// coordinator; the owner extended the lease until it noticed that loss.
+BOOST_AUTO_TEST_CASE(runOutlastsTheDeadlineOfItsJob)
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(5s, RunEnd::Done);
+    };
+    const std::string coordinator = otherThan(ownerOf("a"));
+    submit(coordinator, "job", 2, {6800, 64, 0}, 5s, 1s);
+    run(900ms);
+    BOOST_TEST(executors.startCount == 2U);
+    daemons.at(coordinator)->timers.pause();
+    run(250ms);
+    BOOST_TEST(executors.endCounts[RunEnd::Stopped] == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(jobsAreServedSoonAfterTheOwnerIsKilled)
 {
     const std::string owner = ownerOf("a");
