Dispatch: the 2 % of a slow clock count from its last reading

Cause: the end of a lease is sent as a time on the executor's clock, computed from its last reading and the time that has passed here since. The 2 % by which that clock may be slow were counted for the lease only. Idle executors were not asked, so after a minute without work the end lay 1.2 s too late, and a start that the cut had held up was carried out after the owner had taken the lease to be over.

Fix: 2 % of the time since the reading are taken off the end of the lease. For executors with runs that is 10 ms at most. The clock of idle executors is read every 10 s, so that leases are not shorter than 0.8 s; the first listing after a start extends them in full.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -10,8 +10,13 @@
 
 /// Duration of a lease on an executor; executors shorten longer leases to this.
 constexpr milliseconds LEASE_MS{1000};
-/// An executor's clock may be 2 % slow, so a lease may last this much longer by the local clock.
+/// By how much an executor's clock may be slow.
+constexpr double SLOW_CLOCK_SHARE = 0.02;
+/// A lease may last this much longer by the local clock.
 constexpr milliseconds LEASE_SLACK_MS{40};
+/// The clock of an idle executor is read again after this, since the uncertainty of a reading
+/// shortens the leases that are computed from it.
+constexpr milliseconds CLOCK_REFRESH_MS{10000};
 /// How long a hold waits for an end. Long enough to cost few messages, short enough to leave time
 /// for a second attempt within a lease.
 constexpr milliseconds HOLD_WAIT_MS{300};
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -1407,7 +1407,9 @@
                 hold(executor, true);
         } else {
             pollExecutor(executor);
-            if (hasRuns && isTokenCheckDue(executor))
+            const bool isReadingDue = executor.runs().empty() && executor.isClockReadingOld(now)
+                                      && !executor.isImmediateHoldPending;
+            if (isReadingDue || (hasRuns && isTokenCheckDue(executor)))
                 hold(executor, true);
         }
         if (m_isFenced)
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -54,7 +54,14 @@
 {
     if (!m_clock)
         return std::nullopt;
-    return *m_clock + std::chrono::duration_cast<ExecutorTime>(now - m_clockUpdated + length);
+    const auto passed = std::chrono::duration_cast<Base::Duration>(
+        (now - m_clockUpdated) * (1 - Constants::SLOW_CLOCK_SHARE));
+    return *m_clock + std::chrono::duration_cast<ExecutorTime>(passed + length);
+}
+
+bool ExecutorState::isClockReadingOld(Base::TimePoint now) const
+{
+    return m_clock && now - m_clockUpdated >= Constants::CLOCK_REFRESH_MS;
 }
 
 void ExecutorState::leaseSent(Base::TimePoint now)
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -415,6 +415,38 @@
     BOOST_TEST(count(JobOutcome::Completed) == 2U);
 }
 
+// Leases for executors that had been idle ended too late by 2 % of that time if their clocks were
+// slow. A start that was held up was carried out after its task had been started elsewhere.
+BOOST_AUTO_TEST_CASE(startForAnIdleExecutorWithASlowClockIsAcceptedTooLate)
+{
+    for (const ExecutorInfo &it : executors.infos())
+        executors.at(it.id).clockRate = 0.98;
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(3s, RunEnd::Done);
+    };
+    run(60s);
+    submit("a1", "before", 16, {6800, 64, 0}, 3s, 20s);
+    run(100ms);
+    BOOST_TEST(executors.startCount == 16U); // in spite of the old readings
+    run(60s);
+    executors.chooseDelivery = [] {
+        OrderDelivery delivery;
+        delivery.lateBy = 1700ms;
+        return delivery;
+    };
+    submit("a1", "job", 2, {6800, 64, 0}, 3s, 20s);
+    run(1ms);
+    executors.chooseDelivery = [] { return OrderDelivery(); };
+    for (int i = 0; i < 4; ++i)
+        setExecutorPartitioned(ExecutorId("a-x" + std::to_string(i)), true);
+    run(1800ms);
+    for (int i = 0; i < 4; ++i)
+        setExecutorPartitioned(ExecutorId("a-x" + std::to_string(i)), false);
+    run(6s);
+    BOOST_TEST(count(JobOutcome::Completed) == 2U);
+    check();
+}
+
 BOOST_AUTO_TEST_CASE(crashedExecutorIsGivenUpAfterItsLease)
 {
     executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
