Dispatch: an executor that has left after its drain has not crashed

Cause: whether a lost executor had announced that it leaves was known to the owner that saw its registration as draining. A new owner, or one that had already read the registration of the next lifetime, recorded the loss as a crash, proven by that lifetime. With one real crash the task was given up.

Evidence: executorThatHasLeftAndReturnedCountsAsCrashed fails before.

Fix: the record of losses, which all daemons keep, remembers which lifetimes were registered as draining, for as long as it keeps losses, and neither adds their losses nor takes them over from other daemons.

--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -92,9 +92,11 @@
     m_losses.erase(it);
 }
 
-/// Returns false if the executor has answered since the loss.
+/// Returns false if the executor has answered since the loss, or had announced that it leaves.
 bool ExecutorLosses::insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss)
 {
+    if (m_drained.contains(executor))
+        return false;
     const auto [lost, isNew] = m_executors.try_emplace(executor);
     if (isNew)
         lost->second.time = loss.time;
@@ -136,9 +138,9 @@
 
 ExecutorLosses::Message ExecutorLosses::add(const ExecutorLoss &loss)
 {
-    if (loss.grounds == LossGrounds::Draining)
-        return std::nullopt;
     const ExecutorLifetime executor{loss.executor, loss.lifetime};
+    if (loss.grounds == LossGrounds::Draining || m_drained.contains(executor))
+        return std::nullopt;
     const Base::TimePoint now = m_timers.now();
     // Not overruled by an earlier answer, however recent.
     if (loss.grounds == LossGrounds::OtherLifetime) {
@@ -242,6 +244,10 @@
 
 void ExecutorLosses::setExecutors(const std::vector<ExecutorInfo> &executors)
 {
+    for (const ExecutorInfo &it : executors) {
+        if (it.draining)
+            m_drained[{it.id, it.lifetime}] = m_timers.now();
+    }
     std::vector<ExecutorLifetime> unproven;
     for (const auto &[executor, lost] : m_executors) {
         if (lost.state == State::Unproven)
@@ -428,6 +434,8 @@
     }
     for (const TaskId &it : expired)
         removeTask(it);
+    std::erase_if(m_drained,
+                  [now](const auto &it) { return now - it.second > Constants::LOSS_RETENTION_MS; });
     std::erase_if(m_executors, [now](const auto &it) {
         return it.second.tasks.empty() && now - it.second.time > Constants::LOSS_RETENTION_MS;
     });
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -62,8 +62,9 @@
     /// This lifetime of the executor is known to have ended. Returns a message if that proves a
     /// loss.
     Message ended(const ExecutorId &executor, Lifetime lifetime);
-    /// Looks for proof in the registered executors: a later lifetime, or, once its registration is
-    /// gone, a later executor of the same service at the same address.
+    /// Remembers those that have announced that they leave, and looks for proof in the registered
+    /// executors: a later lifetime, or, once its registration is gone, a later executor of the same
+    /// service at the same address.
     void setExecutors(const std::vector<ExecutorInfo> &executors);
     /// Adds what another daemon has recorded. Entries that are known change nothing.
     void merge(const Wire::LostRuns &message);
@@ -127,6 +128,9 @@
     std::map<TaskId, Losses> m_losses;
     // Those in m_losses, and those removed from it, of whose loss a late message may still tell.
     std::map<ExecutorLifetime, LostExecutor> m_executors;
+    // Lifetimes that were registered as draining, and when last. Their ends are no crashes, also if
+    // the owner that records the loss never saw that.
+    std::map<ExecutorLifetime, Base::TimePoint> m_drained;
     std::uint64_t m_removedCount = 0;
     Base::TimePoint m_lastPrune;
 };
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -645,6 +645,33 @@
     BOOST_TEST(!losses.hasGivenUpTask(JobId("jo")));
 }
 
+// An owner that saw only the next lifetime of an executor that had left after its drain recorded a
+// crash. With one real crash, the job was answered as failed (soak seed 2104).
+BOOST_AUTO_TEST_CASE(executorThatHasLeftAndReturnedCountsAsCrashed)
+{
+    ManualTimers timers;
+    ExecutorLosses losses(timers);
+    ExecutorInfo info;
+    info.id = ExecutorId("x");
+    info.lifetime = Lifetime(1);
+    info.draining = true;
+    losses.setExecutors({info});
+    info.lifetime = Lifetime(2);
+    info.draining = false;
+    losses.setExecutors({info});
+    losses.add(lossOf("x", 1));
+    losses.add(lossOf("y", 1));
+    BOOST_TEST(!losses.isGivenUp(TASK));
+    // The same, as another daemon reports it.
+    ExecutorLosses other(timers);
+    other.add(lossOf("x", 1));
+    for (const Wire::LostRuns &it : other.messages())
+        losses.merge(it);
+    BOOST_TEST(!losses.isGivenUp(TASK));
+    losses.add(lossOf("x", 2));
+    BOOST_TEST(losses.isGivenUp(TASK));
+}
+
 BOOST_AUTO_TEST_CASE(drainingExecutorIsNoLoss)
 {
     ManualTimers timers;
