Wire tests: the end of claims in the state message

The tests state the number of members of each message, and fed numbers where the state message now has the list of claimsEnds. The test of appended members now also reads a state without that list, as an older daemon sends it.

--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -51,6 +51,9 @@
     } else if constexpr (N == 9) {
         auto &[a, b, c, d, e, f, g, h, i] = m;
         return std::tie(a, b, c, d, e, f, g, h, i);
+    } else if constexpr (N == 10) {
+        auto &[a, b, c, d, e, f, g, h, i, j] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j);
     } else {
         auto &[a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t, u] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t, u);
@@ -58,8 +61,8 @@
 }
 
 // Number of members of each message, in the order of the variant.
-static constexpr std::size_t MEMBER_COUNTS[] = {5, 6, 1, 2, 7,  4, 2, 7, 4, 5,
-                                                1, 2, 9, 5, 20, 4, 2, 3, 2};
+static constexpr std::size_t MEMBER_COUNTS[] = {5, 6, 1,  2, 7,  4, 2, 7, 4, 5,
+                                                1, 2, 10, 5, 20, 4, 2, 3, 2};
 static_assert(std::size(MEMBER_COUNTS) == std::variant_size_v<Message>);
 
 class Generator
@@ -104,6 +107,7 @@
     void set(std::string &value) { value = text(below(10) == 0 ? 70'000 : 40); }
     void set(OwnedShard &value) { setMembers<2>(value); }
     void set(GroupClaim &value) { setMembers<4>(value); }
+    void set(GroupClaimsEnd &value) { setMembers<3>(value); }
     void set(ExecutorLoad &value) { setMembers<8>(value); }
     void set(QueueLoad &value) { setMembers<3>(value); }
     void set(BatchTask &value) { setMembers<5>(value); }
@@ -136,6 +140,10 @@
 {
     return fields<4>(a) == fields<4>(b);
 }
+static bool operator==(const GroupClaimsEnd &a, const GroupClaimsEnd &b)
+{
+    return fields<3>(a) == fields<3>(b);
+}
 static bool operator==(const ExecutorLoad &a, const ExecutorLoad &b)
 {
     return fields<8>(a) == fields<8>(b);
@@ -278,8 +286,12 @@
         msgpack::packer<msgpack::sbuffer> packer(buf);
         packer.pack_array(2).pack(12U).pack_array(members);
         packer.pack(true).pack(1U).pack(2U).pack(3U).pack(4U).pack_array(0).pack(100U);
-        for (std::uint32_t i = 7; i < members; ++i)
-            packer.pack(i);
+        for (std::uint32_t i = 7; i < members; ++i) {
+            if (i == 9) // claimsEnds
+                packer.pack_array(1).pack_array(3).pack("g").pack(5U).pack(6U);
+            else
+                packer.pack(i);
+        }
         return frameOf({buf.data(), buf.size()});
     };
     std::optional<Message> message;
@@ -288,11 +300,14 @@
     BOOST_REQUIRE(state);
     BOOST_TEST(state->intervalMs == 100U);
     BOOST_TEST(state->registrationsAgeMs == std::uint32_t(DispatchState::NO_AGE));
-    BOOST_TEST((decode(frame(12), message) == FailureCode::None));
-    state = std::get_if<DispatchState>(&message.value());
-    BOOST_REQUIRE(state);
-    BOOST_TEST(state->registrationsDigest == 7U);
-    BOOST_TEST(state->registrationsAgeMs == 8U);
+    for (const std::uint32_t members : {9U, 12U}) {
+        BOOST_TEST((decode(frame(members), message) == FailureCode::None));
+        state = std::get_if<DispatchState>(&message.value());
+        BOOST_REQUIRE(state);
+        BOOST_TEST(state->registrationsDigest == 7U);
+        BOOST_TEST(state->registrationsAgeMs == 8U);
+        BOOST_TEST(state->claimsEnds.size() == (members > 9 ? 1U : 0U));
+    }
 }
 
 static std::string nested(std::size_t depth)
