Dispatch: warn why a task is started a second time

The users' record holds warnings only, and no line in it says why the first run was given up: runGone was at info, an end without a result and a claim whose run is not found had no line at all.

runGone is a warning now if a coordinator needs the task, and is written for listed ends without a result too; it names the lifetime, whether it had listed the run, and what was left of the lease. claimedRunGone says why a new owner starts a claimed task again, executorRestarted names the lifetime before. At debug, startSent has the lease end and the age of the clock reading that it was computed from, startAccepted the executor's clock.

The comment on nextLeaseEnd() stood above isClockReadingOld().

previousRunGone() is renamed to claimedRunGone(), the name of its log line.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -173,7 +173,7 @@
         return;
     }
     if (entry.mayHaveStarted)
-        previousRunGone(id, ExecutorId(entry.executor), lifetime);
+        claimedRunGone(id, ExecutorId(entry.executor), lifetime);
     enqueue(id, added);
 }
 
@@ -482,6 +482,9 @@
               {{"task", toString(id)},
                {"run", number},
                {"executor", executor.info().id},
+               {"lifetime", executor.lifetime()},
+               {"leaseEnd", order.leaseEnd.value_or(ExecutorTime(0)).count()},
+               {"clockAge", executor.clockAge(now)},
                {"token", m_token},
                {"waited", now - task.queuedAt}});
     m_port.startTask(executor.info(), order,
@@ -506,6 +509,11 @@
     if (!run || run->number != number)
         return; // its end was listed before the answer arrived
     if (result.outcome == OrderOutcome::Accepted) {
+        Base::log(LogLevel::Debug, "startAccepted",
+                  {{"task", toString(id)},
+                   {"run", number},
+                   {"executor", executorId},
+                   {"clock", result.clock.value_or(ExecutorTime(0)).count()}});
         run->visibleFrom = m_lastHold + 1;
         run->isConfirmed = true;
         if (run->state == RunState::Starting || run->state == RunState::Unresolved) {
@@ -526,7 +534,11 @@
     if (result.outcome == OrderOutcome::Unknown) {
         ++m_counters.unresolvedStarts;
         Base::log(LogLevel::Warning, "startUnresolved",
-                  {{"task", toString(id)}, {"run", number}, {"executor", executorId}});
+                  {{"task", toString(id)},
+                   {"run", number},
+                   {"executor", executorId},
+                   {"lifetime", lifetime},
+                   {"leaseLeft", executor->leaseEnd() - now}});
         if (run->state == RunState::Starting)
             run->state = RunState::Unresolved;
         run->visibleFrom = m_lastHold + 1;
@@ -889,6 +901,25 @@
     }
 }
 
+static const char *endName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::LeaseExpired:
+        return "leaseExpired";
+    case RunEnd::GangMemberEnded:
+        return "gangMemberEnded";
+    case RunEnd::GangIncomplete:
+        break;
+    }
+    return "gangIncomplete";
+}
+
 void ExecutorGroup::endReceived(ExecutorState &executor, const ListedEnd &end)
 {
     const auto known = m_ended.find(end.task);
@@ -921,6 +952,7 @@
     case RunEnd::GangMemberEnded:
     case RunEnd::GangIncomplete:
         ++m_counters.lost;
+        logRunLost(end.task, copy, executor, endName(end.end));
         requeue(end.task, true);
         return;
     }
@@ -966,18 +998,30 @@
     return "notListed";
 }
 
+/// Tells why a task has no run any more, and may be started again.
+void ExecutorGroup::logRunLost(const TaskId &id, const Run &run, const ExecutorState &executor,
+                               const char *cause) const
+{
+    const Base::TimePoint now = m_timers.now();
+    const bool isNeeded = run.isClaimed && !run.isCancelled;
+    Base::log(isNeeded ? LogLevel::Warning : LogLevel::Info, "runGone",
+              {{"task", toString(id)},
+               {"run", run.number},
+               {"executor", executor.info().id},
+               {"lifetime", run.lifetime},
+               {"listed", run.isListed ? 1 : 0},
+               {"cause", cause},
+               {"elapsed", now - run.since},
+               {"leaseLeft", executor.leaseEnd() - now}});
+}
+
 void ExecutorGroup::runGone(ExecutorState &executor, const TaskId &id, RunLoss cause)
 {
     const Run *run = executor.find(id);
     if (!run)
         return;
     const bool wasClaimed = run->isClaimed;
-    Base::log(LogLevel::Info, "runGone",
-              {{"task", toString(id)},
-               {"run", run->number},
-               {"executor", executor.info().id},
-               {"cause", causeName(cause)},
-               {"elapsed", m_timers.now() - run->since}});
+    logRunLost(id, *run, executor, causeName(cause));
     m_ended[id] = {run->number,        RunEnd::LeaseExpired, m_timers.now(),
                    executor.info().id, run->lifetime,        false};
     executor.runs().erase(id);
@@ -1053,7 +1097,8 @@
     Base::log(LogLevel::Warning, "executorRestarted",
               {{"executor", executor.info().id},
                {"runs", executor.runs().size()},
-               {"lifetime", lifetime}});
+               {"lifetime", lifetime},
+               {"before", executor.lifetime()}});
     runsOfEndedLifetimeGone(executor, lifetime);
     m_listener.executorEnded(executor.info().id, executor.lifetime());
     executor.beginLifetime(lifetime);
@@ -1228,13 +1273,19 @@
     return m_timers.now() - m_listChanged > Constants::REGISTRATION_SETTLING_MS;
 }
 
-/// Handles a run of a previous owner that is in no listing. It has been lost with its executor if
-/// that is not found, or found in a later lifetime.
-void ExecutorGroup::previousRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime)
+/// Handles a run of a previous owner that is in no listing, before its task is started again. It
+/// has been lost with its executor if that is not found, or found in a later lifetime.
+void ExecutorGroup::claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime)
 {
+    const ExecutorState *state = findExecutor(executor);
+    Base::log(LogLevel::Warning, "claimedRunGone",
+              {{"task", toString(id)},
+               {"executor", executor},
+               {"lifetime", lifetime},
+               {"listedLifetime", state && state->hasListing ? state->lifetime() : Lifetime()},
+               {"leaseExpired", isPreviousOwnerLeaseExpired() ? 1 : 0}});
     if (executor.isEmpty())
         return;
-    const ExecutorState *state = findExecutor(executor);
     ExecutorLoss loss;
     loss.executor = executor;
     loss.lifetime = lifetime;
@@ -1281,7 +1332,7 @@
         }
         if (ended != m_ended.end())
             task.nextRun = std::max(task.nextRun, ended->second.run.value() + 1);
-        previousRunGone(it, task.executor, task.lifetime);
+        claimedRunGone(it, task.executor, task.lifetime);
         enqueue(it, task);
     }
 }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -186,6 +186,8 @@
     void tokenConfirmed(const ExecutorState &executor, Base::TimePoint sent);
     void listingReceived(ExecutorState &executor, std::uint64_t sequence, const HoldResult &result);
     void endReceived(ExecutorState &executor, const ListedEnd &end);
+    void logRunLost(const TaskId &id, const Run &run, const ExecutorState &executor,
+                    const char *cause) const;
     void runGone(ExecutorState &executor, const TaskId &id, RunLoss cause);
     void runsGone(ExecutorState &executor, const std::vector<TaskId> &tasks, RunLoss cause);
     void reportLoss(const ExecutorState &executor, Lifetime lifetime,
@@ -207,7 +209,7 @@
     bool isCertainlyNotRunning(const ExecutorId &executor, Lifetime lifetime) const;
     bool isExecutorListStable() const;
     void releaseAwaitingListing();
-    void previousRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime);
+    void claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime);
     double estimateLogMs(const BatchInfo &batch) const;
     void loadChanged() { ++m_loadVersion; }
 
@@ -224,7 +226,7 @@
     bool m_wasAccepted = false; // some executor has accepted the token
 
     ExecutorMap m_executors;
-    Base::TimePoint m_listChanged;  // when an executor was last added or removed
+    Base::TimePoint m_listChanged; // when an executor was last added or removed
     std::map<TaskId, Task> m_tasks; // Queued ones are in m_queue, OnExecutor ones in m_executors
     TaskQueue m_queue;
     /// An executor that gets no tasks until it is empty, for a queued task that has to run alone.
--- a/src/libs/dispatch/executorstate.cpp
+++ b/src/libs/dispatch/executorstate.cpp
@@ -59,9 +59,14 @@
     return *m_clock + std::chrono::duration_cast<ExecutorTime>(passed + length);
 }
 
+Base::Duration ExecutorState::clockAge(Base::TimePoint now) const
+{
+    return m_clock ? now - m_clockUpdated : Base::Duration(0);
+}
+
 bool ExecutorState::isClockReadingOld(Base::TimePoint now) const
 {
-    return m_clock && now - m_clockUpdated >= Constants::CLOCK_REFRESH_MS;
+    return clockAge(now) >= Constants::CLOCK_REFRESH_MS;
 }
 
 void ExecutorState::leaseSent(Base::TimePoint now)
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -72,9 +72,11 @@
     /// active that no coordinator needs: its caller may submit the job again 1.3 s after the loss
     /// of its coordinator, however many owners follow each other until then.
     bool mayExtendLease() const;
+    /// Age of the last reading of the clock; 0 if there is none.
+    Base::Duration clockAge(Base::TimePoint now) const;
+    bool isClockReadingOld(Base::TimePoint now) const;
     /// End, on the executor's clock, of a lease of \a length that is granted at \a now; earlier by
     /// what a slow clock may have lost since its last reading. No value until the clock is known.
-    bool isClockReadingOld(Base::TimePoint now) const;
     std::optional<ExecutorTime> nextLeaseEnd(Base::TimePoint now, Base::Duration length) const;
     /// An order with a new lease was sent at \a now; it may or may not arrive.
     void leaseSent(Base::TimePoint now);
