Dispatch: a list of executors that can't be read is not complete

Cause: a claimed task whose start was not reported is started again at once if no listed executor has it and the list has not changed for 1 s. A daemon that does not reach the store sees no change. The one that took its group back after the cut did not know an executor that had registered meanwhile, and on which the owner in another failure domain had started the task.

Fix: the list is relied on only if it is known to be complete as of the last second, the time within which daemons learn of a registration. The read schedule knows that from reads and from peers' statements. Otherwise the task waits until the leases of the previous owner have expired, as for executors that are not known.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -99,6 +99,13 @@
         updateGroup(id, *group);
 }
 
+void DispatchNode::setListCompleteAsOf(Base::TimePoint time)
+{
+    m_listCompleteAsOf = time;
+    for (auto &[id, group] : m_owned)
+        group->setListCompleteAsOf(time);
+}
+
 /// Sets the registered executors, and those that only the last owner knew. The latter are queried
 /// under the new token, which fences the last owner there, and get no tasks.
 void DispatchNode::updateGroup(const GroupId &id, ExecutorGroup &group)
@@ -463,6 +470,7 @@
         post([this] { m_retired.clear(); });
     }
     slot = std::move(group);
+    added.setListCompleteAsOf(m_listCompleteAsOf);
     updateGroup(id, added);
     sendStates(true);
 }
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -51,6 +51,9 @@
     void setStateListener(StateListener *listener) { m_stateListener = listener; }
     /// Sets the registered executors of the whole deployment.
     void setExecutors(const std::vector<ExecutorInfo> &executors);
+    /// The list of executors contains all that had registered at \a time. Until the first call, it
+    /// is taken to be complete at any time.
+    void setListCompleteAsOf(Base::TimePoint time);
     /// Lets other daemons take over the owned groups; the jobs of this daemon continue.
     void beginDrain();
 
@@ -135,6 +138,7 @@
     std::vector<std::unique_ptr<ExecutorGroup>> m_retired;
     std::map<GroupId, std::vector<ExecutorInfo>> m_executors;
     std::map<GroupId, Base::TimePoint> m_listChanged; // last addition or removal of an id
+    Base::TimePoint m_listCompleteAsOf = Base::TimePoint::max();
     // As sent by the group's last owner, whose list may be newer than that of this daemon.
     std::map<GroupId, Wire::GroupMembers> m_members;
     std::map<GroupId, Wire::GroupMembers> m_sentMembers;                // of owned groups
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -1267,10 +1267,13 @@
                           [](const auto &it) { return it.second.hasListing; });
 }
 
-/// While registrations change, as after a network partition, daemons may know different executors.
+/// Whether the previous owner can't have known other executors. While registrations change, as
+/// after a network partition, daemons may know different ones; and a daemon that does not reach the
+/// store sees no change.
 bool ExecutorGroup::isExecutorListStable() const
 {
-    return m_timers.now() - m_listChanged > Constants::REGISTRATION_SETTLING_MS;
+    const Base::TimePoint since = m_timers.now() - Constants::REGISTRATION_SETTLING_MS;
+    return m_listChanged < since && m_listCompleteAsOf >= since;
 }
 
 /// Handles a run of a previous owner that is in no listing, before its task is started again. It
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -74,6 +74,8 @@
     /// are tracked to their end, and nothing new starts there. \a changed is when the set last
     /// changed.
     void setExecutors(const std::vector<ExecutorInfo> &executors, Base::TimePoint changed);
+    /// The list contains all executors that had registered at \a time.
+    void setListCompleteAsOf(Base::TimePoint time) { m_listCompleteAsOf = time; }
 
     void submit(const Base::DaemonId &from, const Wire::TaskBatch &message);
     void stopJob(const Base::DaemonId &from, const JobId &job);
@@ -227,6 +229,7 @@
 
     ExecutorMap m_executors;
     Base::TimePoint m_listChanged; // when an executor was last added or removed
+    Base::TimePoint m_listCompleteAsOf = Base::TimePoint::max();
     std::map<TaskId, Task> m_tasks; // Queued ones are in m_queue, OnExecutor ones in m_executors
     TaskQueue m_queue;
     /// An executor that gets no tasks until it is empty, for a queued task that has to run alone.
--- a/src/libs/storage/readschedule.cpp
+++ b/src/libs/storage/readschedule.cpp
@@ -24,6 +24,13 @@
     m_lastReadDigest = m_digest;
 }
 
+Base::TimePoint ReadSchedule::completeAsOf() const
+{
+    if (!m_lastRead)
+        return {};
+    return m_isOutdated ? m_lastRead->requested : std::max(m_lastRead->requested, m_completeAsOf);
+}
+
 Base::TimePoint ReadSchedule::nextRead() const
 {
     if (!m_lastRead)
--- a/src/libs/storage/readschedule.h
+++ b/src/libs/storage/readschedule.h
@@ -50,6 +50,8 @@
     void setDigest(std::uint64_t digest) { m_digest = digest; }
     void readCompleted(const CompletedRead &read) override;
     Base::TimePoint nextRead() const override;
+    /// Time as of which this daemon's copy is known to be complete; epoch before its first read.
+    Base::TimePoint completeAsOf() const;
 
     /// The \a statement of \a peer arrived at \a now. nextRead() may move to an earlier time.
     void statementReceived(const Base::DaemonId &peer, const ReadStatement &statement,
