Dispatch: tell the executors of a group to daemons that take it back

Cause: an owner tells the executors that it knows to its likely next owners. In a large deployment these were taken to be the daemons of its own failure domain. An owner in another domain is replaced by one of the group's domain, which was not told. What arrived after the claim was kept, and not used until the list changed.

Evidence: homeDaemonDoesNotAskTheExecutorsOfARemoteOwner failed before: the executor had not seen the new owner's token.

Fix: the daemons of the group's failure domain are told too, and members that arrive at the new owner are asked at once.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -155,8 +155,10 @@
     if (sent == message)
         return;
     for (const auto &[peer, connections] : m_connections) {
-        if (m_peers.isConnected(peer) && (!isLargeDeployment() || !m_ownership.isRemote(peer)))
+        if (m_peers.isConnected(peer)
+            && (!isLargeDeployment() || m_ownership.isNextCandidate(peer, id))) {
             m_peers.send(peer, message);
+        }
     }
     sent = std::move(message);
 }
@@ -303,8 +305,13 @@
             m_jobs.reportsReceived(*reports);
     } else if (const auto *members = std::get_if<Wire::GroupMembers>(&message)) {
         Wire::GroupMembers &known = m_members[GroupId(members->group)];
-        if (members->token >= known.token)
-            known = *members;
+        if (members->token < known.token)
+            return;
+        known = *members;
+        // Sent before this daemon's claim arrived there.
+        const auto it = m_owned.find(GroupId(members->group));
+        if (it != m_owned.end())
+            updateGroup(it->first, *it->second);
     } else if (const auto *stop = std::get_if<Wire::StopJob>(&message)) {
         const auto it = m_owned.find(GroupId(stop->group));
         if (it != m_owned.end())
--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -268,6 +268,14 @@
     return it != m_peers.end() && it->second.domain != m_domain;
 }
 
+bool GroupOwnership::isNextCandidate(const Base::DaemonId &peer, const GroupId &group) const
+{
+    const auto it = m_peers.find(peer);
+    const auto known = m_groups.find(group);
+    return !isRemote(peer)
+           || (known != m_groups.end() && it->second.domain == known->second.domain);
+}
+
 std::size_t GroupOwnership::rankInDomain() const
 {
     const auto key = [](bool isDraining, std::uint32_t capacity, const Base::DaemonId &daemon) {
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -88,6 +88,9 @@
     std::size_t rankInDomain() const;
     /// Whether \a peer is known to be in another failure domain.
     bool isRemote(const Base::DaemonId &peer) const;
+    /// Whether \a peer is one of the first candidates for \a group if this daemon loses it: in the
+    /// group's failure domain, or in that of this daemon.
+    bool isNextCandidate(const Base::DaemonId &peer, const GroupId &group) const;
     std::optional<Base::DaemonId> owner(const GroupId &group) const;
     /// The token under which owner() has claimed \a group.
     std::optional<FencingToken> token(const GroupId &group) const;
--- a/tests/auto/dispatch/tst_dispatchlists.cpp
+++ b/tests/auto/dispatch/tst_dispatchlists.cpp
@@ -140,3 +140,47 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A deployment in which most state is not sent to other failure domains.
+struct LargeDeployment : DispatchCluster
+{
+    LargeDeployment()
+    {
+        addDaemon("home", "a");
+        for (int i = 0; i < 18; ++i)
+            addDaemon(fmt::format("remote{:02}", i), "b");
+        addExecutors("a", 4);
+        startAll();
+        run(2s);
+    }
+};
+
+} // namespace
+
+// The owner in another failure domain told only the daemons there which executors it used. The
+// daemon that took the group back did not ask the one that it did not know.
+BOOST_FIXTURE_TEST_CASE(homeDaemonDoesNotAskTheExecutorsOfARemoteOwner, LargeDeployment)
+{
+    kill("home");
+    run(2s);
+    BOOST_REQUIRE(owners("a").size() == 1U);
+    BOOST_TEST(owners("a").front().starts_with("remote"));
+    startDaemon("home");
+    run(300ms);
+    ExecutorInfo info = executors.infos().front();
+    info.id = ExecutorId("a-new");
+    info.address = "a-new";
+    executors.add(info);
+    for (const auto &[name, daemon] : daemons) {
+        if (name != "home") // it does not reach the store
+            daemon->node.setExecutors(executors.infos());
+    }
+    run(2500ms);
+    BOOST_REQUIRE(owners("a") == std::vector<std::string>{"home"});
+    const FencingToken token = node("home").ownedGroups().at(GroupId("a"))->token();
+    BOOST_TEST(executors.at(ExecutorId("a-x0")).token == token);
+    BOOST_TEST(executors.at(ExecutorId("a-new")).token == token);
+    BOOST_TEST(executors.violation == "");
+}
