Dispatch tests: lease ends from readings of any age

What the fix rests on had no test but one case of an idle executor: the lease end must not lie more than LEASE_MS after the executor's clock, however old the reading is, also after pauses, changes of owner and unanswered holds. The fake executors check it now for each order of every test, and randomSchedulesWithSlowClocks plays random faults with slow clocks.

startForAnIdleExecutorWithASlowClockIsAcceptedTooLate set the rate of a clock that runs since the epoch, which turned it back by 72 s: the new check found a lease that was 72 s too long.

--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -5,6 +5,8 @@
 #include <dispatch/executorport.h>
 #include <support/manualtimers.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -117,8 +119,10 @@
         crash(id);
         Executor &executor = at(id);
         const ExecutorInfo info = executor.info;
+        const double clockRate = executor.clockRate;
         executor = {};
         executor.info = info;
+        executor.clockRate = clockRate;
         executor.info.lifetime = info.lifetime.next();
         executor.limit = info.capacity;
         executor.clockOffset = std::chrono::milliseconds(7);
@@ -165,6 +169,28 @@
                   });
     }
 
+    /// From now on the executor's clock advances at \a rate.
+    void setClockRate(const ExecutorId &id, double rate)
+    {
+        Executor &executor = at(id);
+        executor.clockOffset += std::chrono::duration_cast<Base::Duration>(
+            m_clock.now().time_since_epoch() * (executor.clockRate - rate));
+        executor.clockRate = rate;
+    }
+
+    /// A lease that is sent now must not last longer than LEASE_MS by the executor's clock, however
+    /// old the sender's reading of that clock is.
+    void checkLeaseEnd(const ExecutorInfo &info, const std::optional<ExecutorTime> &leaseEnd)
+    {
+        const Executor &executor = at(info.id);
+        const bool isKnownLifetime = executor.isUp && executor.info.lifetime == info.lifetime;
+        if (!leaseEnd || !isKnownLifetime)
+            return;
+        const std::int64_t excess = leaseEnd->count() - clockOf(executor) - 1000;
+        if (excess > 0)
+            violate(fmt::format("lease of {} is {} ms too long", info.id.value(), excess));
+    }
+
     void violate(const std::string &what)
     {
         if (violation.empty())
@@ -399,6 +425,7 @@
     void startTask(const ExecutorInfo &executor, const StartOrder &order,
                    OrderCallback callback) override
     {
+        m_executors.checkLeaseEnd(executor, order.leaseEnd);
         send<OrderResult>(executor, 200ms, std::move(callback),
                           [this, order](auto &it) { return m_executors.start(it, order); });
     }
@@ -412,6 +439,7 @@
 
     void hold(const ExecutorInfo &executor, const HoldOrder &order, HoldCallback callback) override
     {
+        m_executors.checkLeaseEnd(executor, order.leaseEnd);
         const OrderDelivery delivery = m_executors.chooseDelivery();
         const auto answer = makeAnswerCallback<HoldResult>(200ms + order.wait, std::move(callback));
         const auto respond = [this, delivery, answer, id = executor.id] {
--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -420,7 +420,7 @@
 BOOST_AUTO_TEST_CASE(startForAnIdleExecutorWithASlowClockIsAcceptedTooLate)
 {
     for (const ExecutorInfo &it : executors.infos())
-        executors.at(it.id).clockRate = 0.98;
+        executors.setClockRate(it.id, 0.98);
     executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
         return std::pair<Base::Duration, RunEnd>(3s, RunEnd::Done);
     };
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -24,8 +24,10 @@
     /// Executors that no daemon reaches, in addition to the usual faults.
     enum class Executors { Usual, OftenUnreachable };
 
+    enum class Clocks { Exact, Slow };
+
     explicit Schedule(std::uint64_t seed, Tasks tasks = Tasks::Harmless,
-                      Executors executors = Executors::Usual)
+                      Executors executors = Executors::Usual, Clocks clocks = Clocks::Exact)
         : m_random(seed)
         , m_hasFatalTasks(tasks == Tasks::SomeFatal)
         , m_isOftenUnreachable(executors == Executors::OftenUnreachable)
@@ -42,6 +44,10 @@
         m_cluster.addDaemon("c1", "c");
         for (const char *it : {"a", "b", "c"})
             m_cluster.addExecutors(it, 3);
+        if (clocks == Clocks::Slow) {
+            for (const ExecutorInfo &it : m_cluster.executors.infos())
+                m_cluster.executors.setClockRate(it.id, 0.98 + double(draw(3)) / 100);
+        }
         m_cluster.executors.chooseRun = [this](const StartOrder &, const ExecutorInfo &) {
             const auto duration = std::chrono::milliseconds(20 + draw(600));
             return std::pair<Base::Duration, RunEnd>(
@@ -360,7 +366,8 @@
 
 /// Runs the schedules that the environment asks for, \a runs by default.
 static void runSchedules(Schedule::Tasks tasks, std::uint64_t runs,
-                         Schedule::Executors executors = Schedule::Executors::Usual)
+                         Schedule::Executors executors = Schedule::Executors::Usual,
+                         Schedule::Clocks clocks = Schedule::Clocks::Exact)
 {
     runs = environmentNumber("EP_RANDOM_RUNS", runs);
     const std::uint64_t first = environmentNumber("EP_RANDOM_SEED", 1);
@@ -368,7 +375,7 @@
     std::size_t failures = 0;
     std::size_t completed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        Schedule schedule(seed, tasks, executors);
+        Schedule schedule(seed, tasks, executors, clocks);
         const std::string violation = schedule.run();
         completed += schedule.completed();
         if (violation.empty())
@@ -398,3 +405,11 @@
 {
     runSchedules(Schedule::Tasks::SomeFatal, 100, Schedule::Executors::OftenUnreachable);
 }
+
+// Leases that were computed from old readings of slow clocks outlasted the time after which their
+// tasks were started elsewhere.
+BOOST_AUTO_TEST_CASE(randomSchedulesWithSlowClocks)
+{
+    runSchedules(Schedule::Tasks::Harmless, 150, Schedule::Executors::Usual,
+                 Schedule::Clocks::Slow);
+}
