--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -70,8 +70,27 @@
         scheduleNext(i);
 }
 
+JobPlan Callers::makeShortJob()
+{
+    static constexpr std::uint32_t CPU_MILLIS = 1700;
+    JobPlan plan;
+    plan.id = fmt::format("{:08x}{:08x}", random(1ULL << 32), ++m_jobCount);
+    plan.queue = "batch";
+    plan.service = "plain";
+    const std::uint64_t kind = random(100);
+    if (kind < 71)
+        plan.steps.push_back({2, CPU_MILLIS, 64, 200, {}});
+    else if (kind < 96)
+        plan.steps.push_back({8, CPU_MILLIS, 64, 60, {}});
+    else
+        plan.steps.push_back({4, CPU_MILLIS, 64, 900, {}});
+    return plan;
+}
+
 JobPlan Callers::makeJob()
 {
+    if (m_hasShortJobs)
+        return makeShortJob();
     JobPlan plan;
     plan.id = fmt::format("{:08x}{:08x}", random(1ULL << 32), ++m_jobCount);
     plan.queue = "batch";
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -25,6 +25,8 @@
     std::size_t openCount() const { return m_open; }
     /// Whether jobs are also sent to the queue that is not always there.
     void setHasExtraQueue(bool hasExtraQueue) { m_hasExtraQueue = hasExtraQueue; }
+    /// Whether jobs have one step of few short tasks, two of which fit on an executor.
+    void setHasShortJobs(bool hasShortJobs) { m_hasShortJobs = hasShortJobs; }
 
     /// Sends a small job to a daemon over a new connection.
     void probe(std::size_t daemon, std::function<void(bool isCompleted)> done);
@@ -40,6 +42,7 @@
 
     std::uint64_t random(std::uint64_t max) { return m_random() % max; }
     JobPlan makeJob();
+    JobPlan makeShortJob();
     void scheduleNext(std::size_t caller);
     void send(std::size_t caller, const JobPlan &plan, int attemptsLeft);
     void attemptEnded(std::size_t caller, const JobPlan &plan, int attemptsLeft, int status);
@@ -63,6 +66,7 @@
     std::size_t m_open = 0;
     bool m_isStopped = false;
     bool m_hasExtraQueue = false;
+    bool m_hasShortJobs = false;
     std::uint64_t m_jobCount = 0;
 };
 
--- a/tests/soak/daemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -12,6 +12,8 @@
 using nlohmann::json;
 
 static constexpr Milliseconds WATCH_MS{20};
+/// More than a run uses, so that runs at the same time search different ranges.
+static constexpr unsigned PORTS_PER_PROCESS = 1024;
 /// A daemon that got SIGTERM must have ended by itself this long after its grace period.
 static constexpr Milliseconds END_MARGIN_MS{3000};
 
@@ -19,7 +21,7 @@
 /// a port between this check and its use.
 std::uint16_t freePort()
 {
-    static unsigned next = unsigned(getpid()) * 512;
+    static unsigned next = unsigned(getpid()) * PORTS_PER_PROCESS;
     asio::io_context io;
     for (int i = 0; i < 20'000; ++i) {
         const auto port = std::uint16_t(10'000 + next++ % 20'000);
@@ -33,11 +35,13 @@
     throw std::runtime_error("no free port");
 }
 
-Daemons::Daemons(asio::io_context &io, Base::Timers &timers, Journal &journal, std::string folder)
+Daemons::Daemons(asio::io_context &io, Base::Timers &timers, Journal &journal, std::string folder,
+                 std::string program)
     : m_io(io)
     , m_timers(timers)
     , m_journal(journal)
     , m_folder(std::move(folder))
+    , m_program(std::move(program))
 {}
 
 void Daemons::add(const std::string &zone, std::uint16_t storePort)
@@ -87,7 +91,7 @@
                                    .dump();
     setenv("ENDIVEPATH_SETTINGS", settings.c_str(), 1);
     it.process = std::make_unique<TestSupport::ChildProcess>(
-        std::vector<std::string>{EP_BIN_DIR "/endivepathd", "--platform"},
+        std::vector<std::string>{m_program, "--platform"},
         fmt::format("{}/{}.log", m_folder, it.name));
     ++it.generation;
     it.terminated.reset();
--- a/tests/soak/daemons.h
+++ b/tests/soak/daemons.h
@@ -17,7 +17,9 @@
 class Daemons
 {
 public:
-    Daemons(asio::io_context &io, Base::Timers &timers, Journal &journal, std::string folder);
+    /// \a program is that of the daemons.
+    Daemons(asio::io_context &io, Base::Timers &timers, Journal &journal, std::string folder,
+            std::string program);
 
     /// Adds a daemon that reaches the store at \a storePort, and relays to the peer ports of the
     /// others. Call start() after all have been added.
@@ -80,6 +82,7 @@
     Base::Timers &m_timers;
     Journal &m_journal;
     const std::string m_folder;
+    const std::string m_program;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
 };
 
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -11,21 +11,28 @@
     , store(io, timers,
             [this](std::size_t reader, const std::string &table, const std::string &key,
                    const std::string &value) { return viewOf(reader, table, key, value); })
-    , daemons(io, timers, journal, options.folder)
+    , daemons(io, timers, journal, options.folder, options.daemon)
     , executors(io, timers, store, ledger, journal, options.seed + 1)
     , callers(io, timers, daemons, ledger, journal, options.seed + 2)
 {
-    static const char *const ZONES[] = {"north", "south"};
+    static const char *const ZONES[] = {"north", "south", "west"};
+    static constexpr double FLEET_SPEEDS[] = {0.7, 0.7, 1.7};
+    const std::size_t zones = options.isFleet ? 3 : 2;
+    callers.setHasShortJobs(options.isFleet);
     for (std::size_t i = 0; i < options.daemons; ++i) {
         const std::uint16_t storePort = freePort();
         store.listen(storePort);
-        daemons.add(ZONES[i % 2], storePort);
+        daemons.add(ZONES[i % zones], storePort);
     }
     for (std::size_t i = 0; i < options.executors; ++i) {
         std::vector<std::uint16_t> relayPorts;
         for (std::size_t daemon = 0; daemon < options.daemons; ++daemon)
             relayPorts.push_back(freePort());
-        executors.add(i % 4 == 3 ? "guarded" : "plain", ZONES[i / 2 % 2], freePort(), relayPorts);
+        const bool isGuarded = !options.isFleet && i % 4 == 3;
+        executors.add(isGuarded ? "guarded" : "plain", ZONES[i / 2 % zones], freePort(),
+                      relayPorts);
+        if (options.isFleet)
+            executors.setSpeed(i, FLEET_SPEEDS[i % 3]);
     }
     changeDesiredState(1);
 }
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -11,7 +11,11 @@
 struct DeploymentOptions
 {
     std::uint64_t seed = 0;
-    Milliseconds duration{20'000}; // with load and faults
+    /// The executors of a small deployment: three failure domains, three speeds, short jobs, and
+    /// faults that come to many executors at one time.
+    bool isFleet = false;
+    std::string daemon = EP_BIN_DIR "/endivepathd"; // program under test
+    Milliseconds duration{20'000};                  // with load and faults
     std::size_t daemons = 3;
     std::size_t executors = 12;
     std::size_t callers = 24;
--- a/tests/soak/executors.cpp
+++ b/tests/soak/executors.cpp
@@ -93,9 +93,14 @@
 {
     Executor &it = *m_executors[index];
     const auto unixTime = std::chrono::system_clock::now().time_since_epoch();
-    m_lastBorn = std::max<std::uint64_t>(
-        m_lastBorn + 1, std::uint64_t(std::chrono::duration_cast<Milliseconds>(unixTime).count()));
-    it.life.born = m_lastBorn;
+    const auto unixMs = std::uint64_t(std::chrono::duration_cast<Milliseconds>(unixTime).count());
+    if (it.timeOffset.count() != 0) {
+        const std::uint64_t born = unixMs + std::uint64_t(it.timeOffset.count());
+        it.life.born = born == it.life.born ? born + 1 : born; // lifetimes differ
+    } else {
+        m_lastBorn = std::max(m_lastBorn + 1, unixMs);
+        it.life.born = m_lastBorn;
+    }
     it.isUp = true;
     it.isDraining = false;
     it.sequence = 0;
@@ -109,7 +114,12 @@
     it.lastEnd = 0;
     m_journal.note(fmt::format("executor {} begins, born {}", it.life.id, it.life.born));
     // Registered at once; the heartbeats of the executors are spread over the period.
-    heartbeat(index, it.life, Milliseconds(1 + random(HEARTBEAT_MS.count())));
+    const Milliseconds pause(1 + random(HEARTBEAT_MS.count()));
+    if (it.registrationDelay.count() == 0)
+        heartbeat(index, it.life, pause);
+    else
+        m_timers.schedule(it.registrationDelay,
+                          [this, index, life = it.life, pause] { heartbeat(index, life, pause); });
 }
 
 void Executors::heartbeat(std::size_t index, const ExecutorLife &life, Milliseconds pause)
@@ -251,6 +261,19 @@
 
 void Executors::handle(std::size_t index, const Http::Request &request,
                        const Http::Respond &respond)
+{
+    const Milliseconds delay = m_executors[index]->orderDelay;
+    if (delay.count() == 0) {
+        carryOut(index, request, respond);
+        return;
+    }
+    schedule(index, delay, [this, index, request](Executor &) {
+        carryOut(index, request, [](const Http::Response &) {});
+    });
+}
+
+void Executors::carryOut(std::size_t index, const Http::Request &request,
+                         const Http::Respond &respond)
 {
     Executor &it = *m_executors[index];
     const json body = json::parse(request.body, nullptr, false);
@@ -352,7 +375,8 @@
     extendLease(index, body);
     run.id = ++m_lastId;
     const std::uint32_t ms = plan->steps[run.task.step].runMs;
-    run.due = m_timers.now() + Milliseconds(ms * (80 + random(40)) / 100);
+    run.due = m_timers.now()
+              + Milliseconds(std::int64_t(double(ms * (80 + random(40))) / 100 / it.speed));
     it.runs.emplace(name, run);
     scheduleEnd(index, *plan, run);
     return answer(it, 200);
--- a/tests/soak/executors.h
+++ b/tests/soak/executors.h
@@ -40,6 +40,24 @@
     void drain(std::size_t executor, Milliseconds drain, Milliseconds downtime);
     /// Refuses orders with \a status; 0 ends that.
     void setRefusal(std::size_t executor, int status) { m_executors[executor]->refusal = status; }
+    /// Run times on it are divided by \a speed.
+    void setSpeed(std::size_t executor, double speed) { m_executors[executor]->speed = speed; }
+    bool isIdle(std::size_t executor) const { return m_executors[executor]->runs.empty(); }
+    /// The time of day on its host is off by \a offset when it starts the next time.
+    void setTimeOfDay(std::size_t executor, Milliseconds offset)
+    {
+        m_executors[executor]->timeOffset = offset;
+    }
+    /// From its next start on, its first registration comes \a delay after the start.
+    void delayRegistration(std::size_t executor, Milliseconds delay)
+    {
+        m_executors[executor]->registrationDelay = delay;
+    }
+    /// Orders are carried out \a delay after their arrival, and are not answered; 0 ends that.
+    void setOrderDelay(std::size_t executor, Milliseconds delay)
+    {
+        m_executors[executor]->orderDelay = delay;
+    }
     /// Its heartbeats do not reach the store, until each cut has ended.
     void cutFromStore(std::size_t executor, bool isCut)
     {
@@ -82,6 +100,10 @@
         bool isDraining = false;
         int refusal = 0;
         int storeCuts = 0;
+        double speed = 1;
+        Milliseconds timeOffset{0};
+        Milliseconds registrationDelay{0};
+        Milliseconds orderDelay{0};
         std::uint64_t sequence = 0;
         Base::TimePoint heard; // last heartbeat that reached the store
         // The executor's clock: it starts at offsetMs and may be slow.
@@ -107,6 +129,7 @@
     void checkRegistrations();
     void stopAt(Executor &executor, bool isCrash);
     void handle(std::size_t index, const Http::Request &request, const Http::Respond &respond);
+    void carryOut(std::size_t index, const Http::Request &request, const Http::Respond &respond);
     Http::Response start(std::size_t index, const nlohmann::json &body);
     Http::Response stop(std::size_t index, const nlohmann::json &body);
     void hold(std::size_t index, const nlohmann::json &body, const Http::Respond &respond);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -20,6 +20,12 @@
 static constexpr Milliseconds FOLLOWED_RUN_LEFT_MS{1000};
 /// Short downtimes of executors are this much shorter than the others.
 static constexpr unsigned SHORT_DOWNTIME_RATIO = 8;
+static constexpr unsigned FLEET_MIN_DOWNTIME_MS = 5;
+/// One host in this many has another time of day, or a late registration.
+static constexpr std::size_t STEPPED_HOSTS_RATIO = 3;
+/// One executor in this many carries orders out late.
+static constexpr std::size_t LATE_EXECUTORS_RATIO = 6;
+static constexpr std::uint64_t MIN_ORDER_DELAY_MS = 300;
 
 struct FaultKind
 {
@@ -185,6 +191,55 @@
     }
 }
 
+/// Restarts all executors, or those without runs, within \a maxMs after their common end.
+static void restartFleet(Deployment &it, const Fault &fault, bool isIdleOnly, unsigned maxMs)
+{
+    std::mt19937_64 generator(fault.variant);
+    for (std::size_t i = 0; i < it.options.executors; ++i) {
+        const Milliseconds downtime(FLEET_MIN_DOWNTIME_MS
+                                    + generator() % (maxMs - FLEET_MIN_DOWNTIME_MS + 1));
+        if (!isIdleOnly || it.executors.isIdle(i))
+            it.executors.crash(i, LinkFault::Refused, downtime);
+    }
+}
+
+/// Steps the time of day on some hosts, for the next starts of their executors, or delays the
+/// registrations of these.
+static void disturbStarts(Deployment &it, const Fault &fault, bool isStep)
+{
+    std::mt19937_64 generator(fault.variant);
+    for (std::size_t i = fault.executor % STEPPED_HOSTS_RATIO; i < it.options.executors;
+         i += STEPPED_HOSTS_RATIO) {
+        const Milliseconds amount(generator() % unsigned(fault.duration.count()));
+        if (isStep)
+            it.executors.setTimeOfDay(i, generator() % 2 == 0 ? amount : -amount);
+        else
+            it.executors.delayRegistration(i, amount);
+    }
+}
+
+/// Some executors carry orders out late and do not answer them.
+static void delayOrders(Deployment &it, const Fault &fault)
+{
+    for (std::size_t i = fault.executor % LATE_EXECUTORS_RATIO; i < it.options.executors;
+         i += LATE_EXECUTORS_RATIO) {
+        it.executors.setOrderDelay(i, Milliseconds(MIN_ORDER_DELAY_MS + fault.variant));
+        it.timers.schedule(fault.duration,
+                           [&it, i] { it.executors.setOrderDelay(i, Milliseconds(0)); });
+    }
+}
+
+/// Kinds for many executors at one time.
+static const FaultKind FLEET_KINDS[] = {
+    {"fleetRestart", 6, 0, 0, [](auto &it, auto &fault) { restartFleet(it, fault, false, 405); }},
+    {"fleetIdleRestart", 14, 0, 0,
+     [](auto &it, auto &fault) { restartFleet(it, fault, true, 105); }},
+    {"fleetTimeStep", 5, 500, 5000, [](auto &it, auto &fault) { disturbStarts(it, fault, true); }},
+    {"fleetLateRegistration", 4, 100, 1500,
+     [](auto &it, auto &fault) { disturbStarts(it, fault, false); }},
+    {"fleetLateOrders", 4, 300, 1500, delayOrders},
+};
+
 static const FaultKind KINDS[] = {
     {"executorSilent", 10, 300, 3000,
      [](auto &it, auto &fault) { cutExecutor(it, fault.executor, LinkFault::Silent, fault); }},
@@ -247,16 +302,20 @@
 };
 
 /// Each kind as often as its weight says.
-static std::vector<const FaultKind *> weightedKinds(const std::vector<std::string> &prefixes)
+static std::vector<const FaultKind *> weightedKinds(const DeploymentOptions &options)
 {
+    const std::vector<std::string> &prefixes = options.faults;
     std::vector<const FaultKind *> kinds;
-    for (const FaultKind &it : KINDS) {
+    const auto add = [&](const FaultKind &it) {
         const auto isBegin = [&it](const std::string &prefix) {
             return std::string_view(it.name).starts_with(prefix);
         };
         if (prefixes.empty() || std::any_of(prefixes.begin(), prefixes.end(), isBegin))
             kinds.insert(kinds.end(), it.weight, &it);
-    }
+    };
+    std::for_each(std::begin(KINDS), std::end(KINDS), add);
+    if (options.isFleet)
+        std::for_each(std::begin(FLEET_KINDS), std::end(FLEET_KINDS), add);
     if (kinds.empty())
         throw std::runtime_error("no such faults");
     return kinds;
@@ -266,7 +325,7 @@
 {
     std::mt19937_64 generator(options.seed);
     const auto draw = [&generator](std::uint64_t max) { return generator() % max; };
-    const std::vector<const FaultKind *> kinds = weightedKinds(options.faults);
+    const std::vector<const FaultKind *> kinds = weightedKinds(options);
     std::vector<Fault> faults;
     // Some runs have few faults, others many that overlap.
     const std::uint64_t meanPauseMs = 150 + draw(900);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -27,6 +27,10 @@
 /// A run that hangs is ended after its duration and this time.
 static constexpr unsigned WATCHDOG_S = 180;
 
+static constexpr std::size_t FLEET_DAEMONS = 8;
+static constexpr std::size_t FLEET_EXECUTORS = 48;
+static constexpr std::size_t FLEET_CALLERS = 130; // about 140 jobs a second
+
 using Served = std::shared_ptr<std::vector<bool>>; // by daemon
 
 static void probe(Deployment &it, std::size_t daemon, const Served &served)
@@ -141,6 +145,8 @@
     add("callers", "each with a connection", value<std::size_t>()->default_value("24"));
     add("faults", "kinds to inject, by the beginnings of their names",
         value<std::vector<std::string>>()->default_value(""));
+    add("fleet", "8 daemons, 48 executors, short jobs, and faults of many executors at one time");
+    add("daemon", "program under test, in place of the built one", value<std::string>());
     add("list", "file with seeds and options to play instead", value<std::string>());
     add("help", "print this help");
     const auto arguments = parser.parse(argc, argv);
@@ -156,6 +162,14 @@
     options.executors = std::max<std::size_t>(4, arguments["executors"].as<std::size_t>());
     options.callers = arguments["callers"].as<std::size_t>();
     options.faults = arguments["faults"].as<std::vector<std::string>>();
+    options.isFleet = arguments.count("fleet") > 0;
+    if (options.isFleet) {
+        options.daemons = FLEET_DAEMONS;
+        options.executors = FLEET_EXECUTORS;
+        options.callers = FLEET_CALLERS;
+    }
+    if (arguments.count("daemon") > 0)
+        options.daemon = arguments["daemon"].as<std::string>();
     std::vector<DeploymentOptions> list;
     for (unsigned i = 0; i < arguments["runs"].as<unsigned>(); ++i) {
         list.push_back(options);
