Tests: a pause of the owner when a coordinator is lost; age of a list

platform.md rested on "not tested" for an owner that is paused for less than a lease while a coordinator's connection breaks: it extends the lease once more. runsOfALostCoordinatorOutlastAPauseOfTheirOwner plays pauses of 0.3, 0.6 and 0.95 s. It passes: the stop after the pause ends the runs before the caller submits the job again. With the stops lost too it stays untested, as do daemons of an older version.

copyIsCompleteAsOfTheLastReadOrStatement covers the time that the stability of the list of executors now rests on.

--- a/tests/auto/dispatch/tst_dispatch.cpp
+++ b/tests/auto/dispatch/tst_dispatch.cpp
@@ -265,6 +265,37 @@
     check();
 }
 
+// An owner that was paused for less than a lease when a coordinator was lost extends the lease once
+// more, before it notices.
+BOOST_AUTO_TEST_CASE(runsOfALostCoordinatorOutlastAPauseOfTheirOwner)
+{
+    executors.chooseRun = [](const StartOrder &order, const ExecutorInfo &) {
+        const bool isFiller = order.task.job.value().starts_with("filler");
+        return std::pair<Base::Duration, RunEnd>(isFiller ? 900ms : 5s, RunEnd::Done);
+    };
+    for (const Base::Duration pause : {300ms, 600ms, 950ms}) {
+        const std::string suffix = std::to_string(Base::toMilliseconds(pause));
+        const std::string owner = ownerOf("a");
+        const std::string coordinator = otherThan(owner);
+        submit("b1", "filler" + suffix, 8, {6800, 64, 0}, 900ms, 20s);
+        run(50ms);
+        submit(coordinator, "job" + suffix, 4, {6800, 64, 0}, 5s, 20s);
+        run(100ms);
+        kill(coordinator);
+        daemons.at(owner)->timers.pause();
+        run(pause);
+        daemons.at(owner)->timers.resume();
+        run(1300ms - pause);
+        submit("b2", "job" + suffix, 4, {6800, 64, 0}, 5s, 20s);
+        run(7s);
+        check();
+        ++lastNumber;
+        startDaemon(coordinator);
+        run(4s);
+    }
+    BOOST_TEST(count(JobOutcome::Completed) == 6U);
+}
+
 // A coordinator is lost while the owner is paused. Its caller submits the job again to another
 // daemon, which uses the other domain.
 BOOST_AUTO_TEST_CASE(resumedOwnerStartsNoTasksOfALostCoordinator)
--- a/tests/auto/storage/tst_readschedule.cpp
+++ b/tests/auto/storage/tst_readschedule.cpp
@@ -83,6 +83,25 @@
     BOOST_TEST((untilNextRead() == 100ms)); // the longest time without an own read
 }
 
+// A daemon that does not reach the store must not take its copy for complete.
+BOOST_AUTO_TEST_CASE(copyIsCompleteAsOfTheLastReadOrStatement)
+{
+    const Base::TimePoint read = timers.now() - 2ms;
+    BOOST_TEST((schedule.completeAsOf() == read));
+    // The age of a statement, its interval, and the time for which it may be held up.
+    const Base::Duration stated = 50ms + 100ms + 50ms;
+    advance(2s, 1);
+    BOOST_TEST((timers.now() - schedule.completeAsOf() == stated));
+    timers.advance(5s);
+    BOOST_TEST((timers.now() - schedule.completeAsOf() == 5s + stated));
+    advance(1s, 2); // a peer has read other content
+    BOOST_TEST((schedule.completeAsOf() == read));
+    schedule.setDigest(2);
+    complete();
+    BOOST_TEST((timers.now() - schedule.completeAsOf() == 2ms));
+    BOOST_TEST((ReadSchedule().completeAsOf() == Base::TimePoint()));
+}
+
 BOOST_AUTO_TEST_CASE(otherContentIsReadAtOnce)
 {
     advance(2s, 1);
