Dispatch: name the runs, grounds and daemons behind a task that is given up

The record of losses now keeps the number of the run, the grounds and the daemon that recorded it; claimedRunGone names the run, and groupFenced the executor that refused the token and whether it had accepted it before. The members are appended to LostRun and BatchTask, so older daemons ignore them.

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -378,9 +378,10 @@
     return owner && (*owner == m_self || m_peers.isConnected(*owner));
 }
 
-void DispatchNode::groupFenced(const GroupId &group, bool wasAccepted)
+void DispatchNode::groupFenced(const GroupId &group, const ExecutorId &executor, bool wasAccepted)
 {
-    post([this, group, wasAccepted] { m_ownership.fenced(group, wasAccepted); });
+    post(
+        [this, group, executor, wasAccepted] { m_ownership.fenced(group, executor, wasAccepted); });
 }
 
 /// All daemons are told, since any of them may own a group or coordinate the job next.
@@ -393,7 +394,9 @@
                {"silence", loss.silence},
                {"tasks", loss.tasks.size()},
                {"first", toString(loss.tasks.front().id)}});
-    broadcast(m_losses.add(loss));
+    ExecutorLoss reported = loss;
+    reported.reporter = m_self;
+    broadcast(m_losses.add(reported));
 }
 
 void DispatchNode::executorAnswered(const ExecutorId &executor, Lifetime lifetime)
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -73,7 +73,7 @@
 private:
     void tasksReported(const Base::DaemonId &coordinator,
                        const Wire::TaskReports &reports) override;
-    void groupFenced(const GroupId &group, bool wasAccepted) override;
+    void groupFenced(const GroupId &group, const ExecutorId &executor, bool wasAccepted) override;
     void executorLost(const ExecutorLoss &loss) override;
     void executorAnswered(const ExecutorId &executor, Lifetime lifetime) override;
     void executorEnded(const ExecutorId &executor, Lifetime lifetime) override;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -50,11 +50,11 @@
     return it == m_executors.end() ? nullptr : &it->second;
 }
 
-void ExecutorGroup::fence()
+void ExecutorGroup::fence(const ExecutorId &executor)
 {
     if (std::exchange(m_isFenced, true))
         return;
-    m_listener.groupFenced(m_group, m_wasAccepted);
+    m_listener.groupFenced(m_group, executor, m_wasAccepted);
 }
 
 std::size_t ExecutorGroup::runCount() const
@@ -169,11 +169,12 @@
         added.state = TaskState::AwaitingListing;
         added.executor = ExecutorId(entry.executor);
         added.lifetime = lifetime;
+        added.run = RunNumber(entry.run);
         m_awaitingListing.insert(id);
         return;
     }
     if (entry.mayHaveStarted)
-        claimedRunGone(id, ExecutorId(entry.executor), lifetime);
+        claimedRunGone(id, ExecutorId(entry.executor), lifetime, RunNumber(entry.run));
     enqueue(id, added);
 }
 
@@ -554,7 +555,7 @@
     executor->runs().erase(id);
     loadChanged();
     if (result.refusal == RefusalReason::Fenced) {
-        fence();
+        fence(executorId);
         return;
     }
     if (result.outcome == OrderOutcome::OtherLifetime)
@@ -648,7 +649,7 @@
         return;
     }
     if (result.refusal == RefusalReason::Fenced) {
-        fence();
+        fence(executorId);
     } else if (result.outcome == OrderOutcome::OtherLifetime) {
         executorRestarted(*executor, Lifetime());
     }
@@ -701,7 +702,7 @@
         break;
     case OrderOutcome::Refused:
         if (result.order.refusal == RefusalReason::Fenced) {
-            fence();
+            fence(executorId);
             return;
         }
         [[fallthrough]];
@@ -1055,8 +1056,10 @@
     loss.lifetime = lifetime;
     loss.address = executor.info().address;
     loss.service = executor.info().service;
-    for (const TaskId &it : tasks)
-        loss.tasks.push_back({it, executor.runs().at(it).isConfirmed});
+    for (const TaskId &it : tasks) {
+        const Run &run = executor.runs().at(it);
+        loss.tasks.push_back({it, run.number, run.isConfirmed});
+    }
     if (executor.silentSince)
         loss.silence = m_timers.now() - *executor.silentSince;
     if (executor.info().draining)
@@ -1278,11 +1281,13 @@
 
 /// Handles a run of a previous owner that is in no listing, before its task is started again. It
 /// has been lost with its executor if that is not found, or found in a later lifetime.
-void ExecutorGroup::claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime)
+void ExecutorGroup::claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime,
+                                   RunNumber run)
 {
     const ExecutorState *state = findExecutor(executor);
     Base::log(LogLevel::Warning, "claimedRunGone",
               {{"task", toString(id)},
+               {"run", run},
                {"executor", executor},
                {"lifetime", lifetime},
                {"listedLifetime", state && state->hasListing ? state->lifetime() : Lifetime()},
@@ -1293,7 +1298,7 @@
     loss.executor = executor;
     loss.lifetime = lifetime;
     loss.grounds = LossGrounds::NotFound;
-    loss.tasks = {{id, true}};
+    loss.tasks = {{id, run, true}};
     if (state) {
         loss.address = state->info().address;
         loss.service = state->info().service;
@@ -1335,7 +1340,7 @@
         }
         if (ended != m_ended.end())
             task.nextRun = std::max(task.nextRun, ended->second.run.value() + 1);
-        claimedRunGone(it, task.executor, task.lifetime);
+        claimedRunGone(it, task.executor, task.lifetime, task.run);
         enqueue(it, task);
     }
 }
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -24,9 +24,10 @@
     /// \a reports are for the daemon \a coordinator, which holds the job.
     virtual void tasksReported(const Base::DaemonId &coordinator,
                                const Wire::TaskReports &reports) = 0;
-    /// An executor has seen a higher token, so the group must not be used any more. \a wasAccepted:
+    /// \a executor has seen a higher token, so the group must not be used any more. \a wasAccepted:
     /// an earlier order under the group's token was accepted.
-    virtual void groupFenced(const GroupId &group, bool wasAccepted) = 0;
+    virtual void groupFenced(const GroupId &group, const ExecutorId &executor,
+                             bool wasAccepted) = 0;
     /// An executor counts as lost; one of the tasks that it ran may have crashed it.
     virtual void executorLost(const ExecutorLoss &loss) = 0;
     /// An executor has answered in this lifetime.
@@ -130,6 +131,7 @@
         TaskState state = TaskState::Queued;
         ExecutorId executor; // if OnExecutor; if AwaitingListing, where a previous owner started it
         Lifetime lifetime;   // of that executor, if AwaitingListing; 0 if unknown
+        RunNumber run;       // there, if AwaitingListing; 0 if unknown
         bool isCancelled = false;
         bool isDropped = false; // cancelled, and to be removed without a report
         Base::TimePoint queuedAt;
@@ -206,12 +208,13 @@
     void stopStraggler(ExecutorState &executor, const TaskId &id, Run &run);
     void checkRuns(ExecutorState &executor);
     bool isTokenCheckDue(const ExecutorState &executor) const;
-    void fence();
+    void fence(const ExecutorId &executor);
     bool isPreviousOwnerLeaseExpired() const;
     bool isCertainlyNotRunning(const ExecutorId &executor, Lifetime lifetime) const;
     bool isExecutorListStable() const;
     void releaseAwaitingListing();
-    void claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime);
+    void claimedRunGone(const TaskId &id, const ExecutorId &executor, Lifetime lifetime,
+                        RunNumber run);
     double estimateLogMs(const BatchInfo &batch) const;
     void loadChanged() { ++m_loadVersion; }
 
--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -31,6 +31,12 @@
     return "draining";
 }
 
+static LossGrounds groundsOf(std::uint8_t value)
+{
+    return static_cast<LossGrounds>(
+        std::min(value, static_cast<std::uint8_t>(LossGrounds::Draining)));
+}
+
 static const char *toString(Wire::LostExecutorState state)
 {
     switch (state) {
@@ -72,7 +78,10 @@
             executor.first.value(),
             executor.second.value(),
             ageMs(loss.time),
-            static_cast<std::uint8_t>(loss.evidence)};
+            static_cast<std::uint8_t>(loss.evidence),
+            loss.run.value(),
+            static_cast<std::uint8_t>(loss.grounds),
+            loss.reporter.value()};
 }
 
 Wire::LostRuns ExecutorLosses::stateMessage(const ExecutorLifetime &executor) const
@@ -152,7 +161,8 @@
     }
     Wire::LostRuns message;
     for (const LostTask &it : loss.tasks) {
-        const Loss entry{now, evidenceOf(loss.grounds, it.hadStarted)};
+        const Loss entry{now, evidenceOf(loss.grounds, it.hadStarted), it.run, loss.grounds,
+                         loss.reporter};
         if (insert(it.id, executor, entry))
             message.runs.push_back(entryOf(it.id, executor, entry));
     }
@@ -291,7 +301,9 @@
         const auto evidence = static_cast<Wire::LostRunEvidence>(
             std::min(it.evidence, static_cast<std::uint8_t>(Wire::LostRunEvidence::Started)));
         insert({JobId(it.job), it.occurrence, it.step, it.index},
-               {ExecutorId(it.executor), Lifetime(it.lifetime)}, {timeAt(it.ageMs), evidence});
+               {ExecutorId(it.executor), Lifetime(it.lifetime)},
+               {timeAt(it.ageMs), evidence, RunNumber(it.run), groundsOf(it.grounds),
+                Base::DaemonId(it.reporter)});
     }
     for (const Wire::LostExecutor &it : message.executors) {
         const ExecutorLifetime executor{ExecutorId(it.executor), Lifetime(it.lifetime)};
@@ -412,8 +424,10 @@
     for (const auto &[executor, loss] : it->second) {
         const auto lost = m_executors.find(executor);
         const State state = lost == m_executors.end() ? State::Unproven : lost->second.state;
-        text += fmt::format("{}{}@{}/{}/{}ms", text.empty() ? "" : ",", executor.first.value(),
-                            executor.second.value(), toString(state), ageMs(loss.time));
+        text +=
+            fmt::format("{}run{}:{}@{}/{}/{}/{}/{}ms", text.empty() ? "" : ",", loss.run.value(),
+                        executor.first.value(), executor.second.value(), toString(loss.grounds),
+                        toString(state), loss.reporter.value(), ageMs(loss.time));
     }
     return text;
 }
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -28,6 +28,7 @@
 struct LostTask
 {
     TaskId id;
+    RunNumber run;           // 0 if unknown
     bool hadStarted = false; // the executor had confirmed the start
 };
 
@@ -40,6 +41,7 @@
     Base::Duration silence{0}; // since the first missed answer
     std::string address;       // empty if unknown
     ServiceId service;
+    Base::DaemonId reporter;     // that concluded it
     std::vector<LostTask> tasks; // of which it had runs
 };
 
@@ -86,7 +88,7 @@
     std::size_t taskCount() const { return m_losses.size(); }
     /// Losses that were removed since the executor answered again.
     std::uint64_t removedCount() const { return m_removedCount; }
-    /// The executors lost under the task, for logs.
+    /// The runs of the task that were lost with their executors, for logs.
     std::string describe(const TaskId &task) const;
 
     /// Removes entries older than the retention.
@@ -109,6 +111,9 @@
     {
         Base::TimePoint time; // on the clock of this daemon
         Wire::LostRunEvidence evidence = Wire::LostRunEvidence::Silence;
+        RunNumber run; // 0 if unknown
+        LossGrounds grounds = LossGrounds::NoAnswer;
+        Base::DaemonId reporter;
     };
     using Losses = std::map<ExecutorLifetime, Loss>;
 
--- a/src/libs/dispatch/groupownership.cpp
+++ b/src/libs/dispatch/groupownership.cpp
@@ -177,7 +177,7 @@
     m_listener.groupOwnerChanged(it->first);
 }
 
-void GroupOwnership::fenced(const GroupId &id, bool wasAccepted)
+void GroupOwnership::fenced(const GroupId &id, const ExecutorId &executor, bool wasAccepted)
 {
     const auto it = m_groups.find(id);
     if (it == m_groups.end() || !it->second.claim || it->second.claim->owner != m_self)
@@ -198,7 +198,9 @@
     group.minRound = roundOf(group.claim->token) + Constants::ROUND_STEP;
     Base::log(LogLevel::Warning, "groupFenced",
               {{"group", id},
+               {"executor", executor},
                {"token", group.claim->token},
+               {"accepted", wasAccepted ? 1 : 0},
                {"wait", std::max(Base::Duration(0), group.earliestClaim - now)}});
     group.claim.reset();
     group.isVacant = false;
--- a/src/libs/dispatch/groupownership.h
+++ b/src/libs/dispatch/groupownership.h
@@ -68,9 +68,9 @@
     void confirmOwner(const Base::DaemonId &peer, const GroupId &group, FencingToken token);
     void peerConnected(const Base::DaemonId &peer);
     void peerDisconnected(const Base::DaemonId &peer);
-    /// An executor of \a group refused the token of this daemon. \a wasAccepted: another order
+    /// \a executor, of \a group, refused the token of this daemon. \a wasAccepted: another order
     /// under that token had been accepted before, so the higher token is newer.
-    void fenced(const GroupId &group, bool wasAccepted);
+    void fenced(const GroupId &group, const ExecutorId &executor, bool wasAccepted);
     /// Result of GroupOwnershipListener::probeGroup().
     void probed(const GroupId &group, bool isReachable);
 
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -246,9 +246,12 @@
     batch.rack = spec.preferredRack;
     batch.maxPerExecutor = spec.maxPerExecutor;
     batch.returnsUnplaced = kind == BatchKind::Immediate;
-    for (const std::uint32_t it : indices)
-        batch.tasks.push_back({it, job.steps[step][it].minRun, mayHaveStarted,
-                               job.steps[step][it].executor, job.steps[step][it].lifetime});
+    for (const std::uint32_t it : indices) {
+        const Task &task = job.steps[step][it];
+        const bool isKnown = !task.executor.empty();
+        batch.tasks.push_back({it, task.minRun, mayHaveStarted, task.executor, task.lifetime,
+                               isKnown ? task.run : 0});
+    }
     if (!m_sender.sendToOwner(group, batch))
         return false;
     Base::log(LogLevel::Debug, "batchSent",
@@ -332,6 +335,7 @@
     case TaskReportState::Started:
         task.executor = report.executor;
         task.lifetime = report.lifetime;
+        task.run = report.run;
         return;
     case TaskReportState::Returned:
         ++task.returns;
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -111,6 +111,7 @@
         std::uint32_t returns = 0;  // by groups that could not start it at once
         std::string executor; // on which its run was reported to have started; empty after a claim
         std::uint64_t lifetime = 0; // of that executor
+        std::uint64_t run = 0;      // that was reported as started there
         bool needsClaim = false;    // AtGroup, and the claim has not been sent to the owner yet
     };
 
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -240,8 +240,9 @@
     bool mayHaveStarted = false; // a previous owner of the group may have started it
     std::string executor;        // where it was last reported as started; may be empty
     std::uint64_t lifetime = 0;  // of that executor; 0 if unknown
+    std::uint64_t run = 0;       // that was reported as started there; 0 if unknown
 
-    MSGPACK_DEFINE(index, minRun, mayHaveStarted, executor, lifetime)
+    MSGPACK_DEFINE(index, minRun, mayHaveStarted, executor, lifetime, run)
 };
 
 /// Tasks of one step, from the coordinator of the job to the owner of a group.
@@ -360,8 +361,12 @@
     std::uint64_t lifetime = 0; // of the executor; 0 if unknown
     std::uint64_t ageMs = 0;    // time since the loss
     std::uint8_t evidence = 0;  // a LostRunEvidence
+    std::uint64_t run = 0;      // number of the run; 0 if unknown
+    std::uint8_t grounds = 0;   // a Dispatch::LossGrounds, for logs
+    std::string reporter;       // daemon that recorded the loss, for logs
 
-    MSGPACK_DEFINE(job, occurrence, step, index, executor, lifetime, ageMs, evidence)
+    MSGPACK_DEFINE(job, occurrence, step, index, executor, lifetime, ageMs, evidence, run, grounds,
+                   reporter)
 };
 
 /// What is known of a lifetime of an executor since runs were lost with it.
--- a/tests/auto/dispatch/tst_dispatchlists.cpp
+++ b/tests/auto/dispatch/tst_dispatchlists.cpp
@@ -12,7 +12,7 @@
 class SilentGroupListener : public GroupListener
 {
     void tasksReported(const Base::DaemonId &, const Wire::TaskReports &) override {}
-    void groupFenced(const GroupId &, bool) override {}
+    void groupFenced(const GroupId &, const ExecutorId &, bool) override {}
     void executorLost(const ExecutorLoss &) override {}
     void executorAnswered(const ExecutorId &, Lifetime) override {}
     void executorEnded(const ExecutorId &, Lifetime) override {}
--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -95,7 +95,7 @@
     loss.lifetime = Lifetime(lifetime);
     loss.grounds = grounds;
     loss.address = std::string(executor) + ":1";
-    loss.tasks = {{task, true}};
+    loss.tasks = {{task, RunNumber(), true}};
     return loss;
 }
 
@@ -828,9 +828,10 @@
     ManualTimers timers;
     ExecutorLosses losses(timers);
     ExecutorLoss loss = lossOf("i-cd809e51a5", 1'785'153'476'205, LossGrounds::Disconnected);
+    loss.reporter = Base::DaemonId("edge-almaty-bostandyk-12");
     loss.tasks.clear();
     for (std::uint32_t i = 0; i < 4; ++i)
-        loss.tasks.push_back({{JobId("14eb46b93186df10"), 0, 0, i}, true});
+        loss.tasks.push_back({{JobId("14eb46b93186df10"), 0, 0, i}, RunNumber(1), true});
     const auto report = losses.add(loss);
     const auto proof = losses.ended(loss.executor, loss.lifetime);
     BOOST_REQUIRE(report);
@@ -1046,7 +1047,7 @@
 {
 public:
     void tasksReported(const Base::DaemonId &, const Wire::TaskReports &) override {}
-    void groupFenced(const GroupId &, bool) override {}
+    void groupFenced(const GroupId &, const ExecutorId &, bool) override {}
     void executorLost(const ExecutorLoss &) override {}
     void executorAnswered(const ExecutorId &, Lifetime) override {}
     void executorEnded(const ExecutorId &, Lifetime) override {}
@@ -1132,7 +1133,7 @@
         batch.objectiveMs = objectiveMs;
         batch.deadlineMs = 600'000;
         for (std::uint32_t i = 0; i < count; ++i)
-            batch.tasks.push_back({i, 1, false, "", 0});
+            batch.tasks.push_back({i, 1, false, "", 0, 0});
         group.submit(Base::DaemonId("c"), batch);
     }
 
--- a/tests/auto/dispatch/tst_dispatchparts.cpp
+++ b/tests/auto/dispatch/tst_dispatchparts.cpp
@@ -371,7 +371,7 @@
     loss.executor = ExecutorId("x");
     loss.lifetime = lifetime;
     loss.grounds = LossGrounds::OtherLifetime;
-    loss.tasks = {{{JobId("job"), 0, 0, 0}, true}};
+    loss.tasks = {{{JobId("job"), 0, 0, 0}, RunNumber(), true}};
     return loss;
 }
 
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -54,6 +54,9 @@
     } else if constexpr (N == 10) {
         auto &[a, b, c, d, e, f, g, h, i, j] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j);
+    } else if constexpr (N == 11) {
+        auto &[a, b, c, d, e, f, g, h, i, j, k] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i, j, k);
     } else {
         auto &[a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t, u] = m;
         return std::tie(a, b, c, d, e, f, g, h, i, j, k, l, n, o, p, q, r, s, t, u);
@@ -110,10 +113,10 @@
     void set(GroupClaimsEnd &value) { setMembers<3>(value); }
     void set(ExecutorLoad &value) { setMembers<8>(value); }
     void set(QueueLoad &value) { setMembers<3>(value); }
-    void set(BatchTask &value) { setMembers<5>(value); }
+    void set(BatchTask &value) { setMembers<6>(value); }
     void set(TaskReport &value) { setMembers<7>(value); }
     void set(GroupMember &value) { setMembers<5>(value); }
-    void set(LostRun &value) { setMembers<8>(value); }
+    void set(LostRun &value) { setMembers<11>(value); }
     void set(LostExecutor &value) { setMembers<4>(value); }
     template<std::size_t N, class T>
     void setMembers(T &value)
@@ -154,7 +157,7 @@
 }
 static bool operator==(const BatchTask &a, const BatchTask &b)
 {
-    return fields<5>(a) == fields<5>(b);
+    return fields<6>(a) == fields<6>(b);
 }
 static bool operator==(const TaskReport &a, const TaskReport &b)
 {
@@ -162,7 +165,7 @@
 }
 static bool operator==(const LostRun &a, const LostRun &b)
 {
-    return fields<8>(a) == fields<8>(b);
+    return fields<11>(a) == fields<11>(b);
 }
 static bool operator==(const LostExecutor &a, const LostExecutor &b)
 {
