Tests: jobs answered as failed without a cause, failing

A run that had ended before its executor restarted, and two restarts of all executors, give jobs up that no task has failed; one run counts as lost in two lifetimes.

--- a/tests/auto/dispatch/tst_dispatchlosses.cpp
+++ b/tests/auto/dispatch/tst_dispatchlosses.cpp
@@ -465,6 +465,60 @@
     check();
 }
 
+// A run had ended, its end was lost with the owner, and the executor restarted: with an earlier
+// crash the job was answered as failed (soak --fleet seed 201).
+BOOST_AUTO_TEST_CASE(runThatEndedBeforeItsExecutorRestartedFailsItsJob,
+                     *boost::unit_test::disabled())
+{
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(400ms, RunEnd::Done);
+    };
+    submit("c1", "job", 1, {6800, 64, 0}, 3s, 60s);
+    BOOST_REQUIRE(waitForRun());
+    run(50ms);
+    const ExecutorId first = *executorWithRuns();
+    executors.crash(first);
+    run(100ms);
+    executors.restart(first);
+    announceExecutors();
+    BOOST_REQUIRE(waitForRun());
+    const ExecutorId second = *executorWithRuns();
+    run(350ms);
+    kill(owners(executors.at(second).info.domain.value()).front());
+    run(100ms);
+    BOOST_TEST(executors.endCounts[RunEnd::Done] == 1U);
+    executors.crash(second);
+    executors.restart(second);
+    runWithRegistrations(20s);
+    BOOST_TEST(count(JobOutcome::Failed) == 0U);
+    check();
+}
+
+// A restart of all executors, twice, was taken for the fault of the tasks that ran there.
+BOOST_AUTO_TEST_CASE(restartsOfAllExecutorsFailTheJobsOnThem, *boost::unit_test::disabled())
+{
+    executors.isFatal = [](const StartOrder &) { return false; };
+    executors.chooseRun = [](const StartOrder &, const ExecutorInfo &) {
+        return std::pair<Base::Duration, RunEnd>(400ms, RunEnd::Done);
+    };
+    for (int i = 0; i < 8; ++i)
+        submit("c1", "job" + std::to_string(i), 1, {6800, 64, 0}, 3s, 60s);
+    const std::vector<ExecutorInfo> fleet = executors.infos();
+    for (int i = 0; i < 2; ++i) {
+        BOOST_REQUIRE(waitForRun());
+        run(200ms);
+        for (const ExecutorInfo &it : fleet)
+            executors.crash(it.id);
+        run(200ms);
+        for (const ExecutorInfo &it : fleet)
+            executors.restart(it.id);
+        announceExecutors();
+    }
+    runWithRegistrations(20s);
+    BOOST_TEST(count(JobOutcome::Failed) == 0U);
+    check();
+}
+
 // Starts that were not confirmed prove nothing, so only the waits limit what such a task crashes.
 BOOST_AUTO_TEST_CASE(startsAreLimitedIfExecutorsCrashBeforeTheyConfirm)
 {
@@ -921,6 +975,26 @@
     BOOST_TEST(losses.count(TASK) == 1U);
 }
 
+// Two daemons put one run down to two lifetimes of its executor, which gave the task up.
+BOOST_AUTO_TEST_CASE(oneRunCountsInTwoLifetimes, *boost::unit_test::disabled())
+{
+    ManualTimers timers;
+    ExecutorLosses losses(timers);
+    ExecutorLosses other(timers);
+    ExecutorLoss loss = lossOf("x", 5);
+    loss.tasks = {{TASK, RunNumber(3), true}};
+    losses.add(loss);
+    loss.lifetime = Lifetime(6);
+    const auto message = other.add(loss);
+    BOOST_REQUIRE(message);
+    losses.merge(*message);
+    BOOST_TEST(losses.count(TASK) == 1U);
+    // The next run there is another loss.
+    loss.tasks = {{TASK, RunNumber(4), true}};
+    losses.add(loss);
+    BOOST_TEST(losses.count(TASK) == 2U);
+}
+
 // The report of a loss arrives at a daemon that the executor has answered since, without runs.
 BOOST_AUTO_TEST_CASE(answerBeforeTheFirstReportKeepsTheLossOut, *boost::unit_test::disabled())
 {
