Dispatch: the end of executors is no failed attempt of a task

Callers saw jobs answered as failed though no task had failed: after two executors had ended under a task, also if one of the runs had ended before its executor did, or was counted in two lifetimes. The contract counts only runs that executors list as failed ("failed: a task has failed maxAttempts times").

Cause: what is concluded from the end of an executor was answered to the caller as a fact about its job. No evidence from outside tells a crash under a task from an executor that was cut off with a reset and restarted later, or from a run that had ended without its end being read, so no rule on such evidence can be right: the tests taskThatCrashesExecutorsIsGivenUp and executorThatEndsAfterTheLeaseHasNotCrashedUnderTheTask excluded each other.

A task that is given up is still not started again after two losses, at any daemon, but its job is answered with 504 at once, and rejected when it is submitted again until the losses are forgotten. A run counts once, whichever lifetime it is put down to.

--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -101,6 +101,17 @@
     m_losses.erase(it);
 }
 
+/// Whether the \a run is recorded in another known lifetime of the \a executor. Daemons may put it
+/// down to different ones, and it can be lost only once.
+bool ExecutorLosses::isSameRunKnown(const Losses &losses, const ExecutorLifetime &executor,
+                                    RunNumber run)
+{
+    return std::any_of(losses.begin(), losses.end(), [&](const auto &it) {
+        return it.first.first == executor.first && it.first.second != executor.second
+               && it.first.second.value() > 0 && it.second.run == run;
+    });
+}
+
 /// Returns false if the executor has answered since the loss, or had announced that it leaves.
 bool ExecutorLosses::insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss)
 {
@@ -123,6 +134,8 @@
         removeTask(TaskId(oldest->first));
     }
     auto &executors = m_losses[task];
+    if (loss.run.value() > 0 && isSameRunKnown(executors, executor, loss.run))
+        return true;
     // A daemon that has only heard of the executor does not know which lifetime was lost.
     const ExecutorLifetime unknown{executor.first, Lifetime()};
     const auto sameExecutor = executors.lower_bound(unknown);
@@ -375,31 +388,23 @@
     return static_cast<std::size_t>(proven) >= Constants::MAX_EXECUTOR_LOSSES;
 }
 
-bool ExecutorLosses::hasGivenUpTask(const JobId &job) const
-{
-    for (auto it = m_losses.lower_bound({job, 0, 0, 0});
-         it != m_losses.end() && it->first.job == job; ++it) {
-        if (isGivenUp(it->first))
-            return true;
-    }
-    return false;
-}
-
 Base::Duration ExecutorLosses::startDelay(const TaskId &task) const
 {
     const auto it = m_losses.find(task);
     if (it == m_losses.end() || it->second.size() < Constants::MAX_EXECUTOR_LOSSES)
         return Base::Duration(0);
-    std::optional<Base::TimePoint> last; // of the losses that are not proven
+    const bool isForgotten = isGivenUp(task); // before it may be started again
+    std::optional<Base::TimePoint> last;      // of the losses that count
     for (const auto &loss : it->second) {
-        if (!isProven(loss))
+        if (isForgotten || !isProven(loss))
             last = std::max(last, std::optional(loss.second.time));
     }
     if (!last)
         return Base::Duration(0);
     // Without proof, only the number of starts limits what a task can crash.
     const std::size_t extra = it->second.size() - Constants::MAX_EXECUTOR_LOSSES;
-    const Base::Duration wait = it->second.size() >= Constants::MAX_UNPROVEN_LOSSES
+    const bool isOverLimit = it->second.size() >= Constants::MAX_UNPROVEN_LOSSES;
+    const Base::Duration wait = isForgotten || isOverLimit
                                     ? Base::Duration(Constants::LOSS_RETENTION_MS)
                                     : Constants::LOSS_PROOF_WAIT_MS * (1U << extra);
     return std::max(Base::Duration(0), *last + wait - m_timers.now());
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -79,9 +79,8 @@
     bool isSuspect(const TaskId &task) const;
     /// The task must not be started any more.
     bool isGivenUp(const TaskId &task) const;
-    bool hasGivenUpTask(const JobId &job) const;
     /// Time until the task may be started. After several losses it waits for the proof, and longer
-    /// after each further one.
+    /// after each further one; a task that is given up waits until the losses are forgotten.
     Base::Duration startDelay(const TaskId &task) const;
     /// The longest delay of a task of the job.
     Base::Duration startDelay(const JobId &job) const;
@@ -117,6 +116,8 @@
     };
     using Losses = std::map<ExecutorLifetime, Loss>;
 
+    static bool isSameRunKnown(const Losses &losses, const ExecutorLifetime &executor,
+                               RunNumber run);
     bool insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss);
     bool remove(const ExecutorLifetime &executor, Base::TimePoint answered);
     bool prove(const ExecutorLifetime &executor, const char *proof);
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -51,13 +51,6 @@
 void JobCoordinator::submit(JobRequest request, Callback callback)
 {
     const JobId id = request.spec.id;
-    if (m_losses.hasGivenUpTask(id)) {
-        ++m_counters.failed;
-        Base::log(LogLevel::Info, "jobKnownAsFailed",
-                  {{"job", id}, {"queue", request.policy.queue}, {"reason", "executorsLost"}});
-        callback({JobOutcome::Failed, "executorsLost", {}});
-        return;
-    }
     const Base::TimePoint now = m_timers.now();
     const Base::Duration chain = longestChain(request.spec);
     const QueuePolicy &policy = request.policy;
@@ -349,8 +342,7 @@
         taskLost(it, report);
         return;
     case TaskReportState::GivenUp:
-        logGivenUp({it->first, report.occurrence, report.step, report.index});
-        finish(it, {JobOutcome::Failed, "executorsLost", {}});
+        giveUp(it, {it->first, report.occurrence, report.step, report.index});
         return;
     case TaskReportState::Failed:
         task.state = TaskState::Waiting;
@@ -406,8 +398,7 @@
                {"executor", report.executor},
                {"executorsLost", losses}});
     if (m_losses.isGivenUp(task)) {
-        logGivenUp(task);
-        finish(it, {JobOutcome::Failed, "executorsLost", {}});
+        giveUp(it, task);
         return;
     }
     const Base::Duration estimate = job.request.spec.steps[report.step].estimate;
@@ -415,10 +406,13 @@
         finish(it, {JobOutcome::TimedOut, "executorLost", {}});
 }
 
-void JobCoordinator::logGivenUp(const TaskId &task) const
+/// The executors may have ended for any reason, and a run may have ended before its executor did,
+/// so the job does not count as failed: only runs that executors list as failed are attempts.
+void JobCoordinator::giveUp(JobMap::iterator it, const TaskId &task)
 {
     Base::log(LogLevel::Warning, "taskGivenUp",
               {{"task", toString(task)}, {"executorsLost", m_losses.describe(task)}});
+    finish(it, {JobOutcome::TimedOut, "executorsLost", {}});
 }
 
 void JobCoordinator::stopTasks(const JobId &id, const Job &job)
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -142,7 +142,7 @@
     void reportReceived(const Wire::TaskReports &reports, JobMap::iterator it,
                         const Wire::TaskReport &report);
     void taskLost(JobMap::iterator it, const Wire::TaskReport &report);
-    void logGivenUp(const TaskId &task) const;
+    void giveUp(JobMap::iterator it, const TaskId &task);
     void sendClaims(const JobId &id, Job &job);
     bool areClaimsSent(const GroupId &group) const;
     void withdraw(JobMap::iterator it, const char *reason);
