Dispatch: an executor and its successor count once

The number of groups of a failure domain was computed from the number of registered executors. While executors that had crashed were still registered beside their successors (new id, same address), a daemon that read the list counted them twice and divided the domain into 32 groups for good, while the others stayed at 8.

The size of a domain is now the number of distinct addresses; executors without an address count by id.

Test: executorsAndTheirSuccessorsAreCountedTwice (failed before).

--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace Dispatch {
@@ -49,13 +51,24 @@
     return ids;
 }
 
+/// Number of executors by domain. An executor that crashed is registered beside its successor at
+/// the same address until its registration expires, and counts once with it.
+static std::map<Base::FailureDomainId, std::size_t>
+domainSizes(const std::vector<ExecutorInfo> &executors)
+{
+    std::map<Base::FailureDomainId, std::unordered_set<std::string_view>> addresses;
+    std::map<Base::FailureDomainId, std::size_t> sizes;
+    for (const ExecutorInfo &it : executors) {
+        if (it.address.empty() || addresses[it.domain].insert(it.address).second)
+            ++sizes[it.domain];
+    }
+    return sizes;
+}
+
 /// A domain with many executors is divided into several groups, whose owners share the load.
 void DispatchNode::divideDomains(const std::vector<ExecutorInfo> &executors)
 {
-    std::map<Base::FailureDomainId, std::size_t> sizes;
-    for (const ExecutorInfo &it : executors)
-        ++sizes[it.domain];
-    for (const auto &[domain, n] : sizes) {
+    for (const auto &[domain, n] : domainSizes(executors)) {
         std::size_t count = 1;
         if (n > Constants::MAX_UNDIVIDED_EXECUTORS) {
             for (count = 2; count * Constants::EXECUTORS_PER_GROUP * 2 < n;)
