Dispatch: crashes of a job that is submitted again count each

Run numbers begin anew with a job that is submitted again, so losses of the same executor in two lifetimes were taken for one run: crashesOfAResubmittedJobCountOnce had 8 crashes instead of 2. Runs are numbered from the highest one that is recorded as lost, and a run is put down to two lifetimes only within 5 s.

A job that is not started again is answered with 504, not 503: a task has been started, and may be at work for another coordinator whose caller has left (jobRejectedByOneDaemonIsStartedByAnother: rejected at one daemon, started after that by another).

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -99,6 +99,9 @@
 constexpr milliseconds LOSS_ORDER_TOLERANCE_MS{700};
 /// Losses are remembered for this long: the longest time that a caller waits for a job.
 constexpr milliseconds LOSS_RETENTION_MS{600'000};
+/// Daemons that put one run down to different lifetimes of its executor conclude its loss within
+/// this time of each other: a lease, a takeover and the claims after it.
+constexpr milliseconds SAME_RUN_WINDOW_MS{5000};
 constexpr milliseconds LOSS_PRUNE_INTERVAL_MS{1000};
 /// Tasks under which executors were lost; beyond this the oldest are forgotten.
 constexpr std::size_t MAX_LOSS_RECORDS = 4096;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -152,7 +152,8 @@
                     entry.index};
     if (attachTask(from, batch, id, entry.minRun) || reportKnownEnd(from, id, entry))
         return;
-    std::uint64_t nextRun = entry.minRun;
+    // The runs of a job that was submitted before may be recorded as lost under their numbers.
+    std::uint64_t nextRun = std::max(entry.minRun, m_losses.highestRun(id).value() + 1);
     const auto ended = m_ended.find(id);
     if (ended != m_ended.end())
         nextRun = std::max(nextRun, ended->second.run.value() + 1);
--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -101,14 +101,15 @@
     m_losses.erase(it);
 }
 
-/// Whether the \a run is recorded in another known lifetime of the \a executor. Daemons may put it
+/// Whether the run is recorded in another known lifetime of the \a executor. Daemons may put it
 /// down to different ones, and it can be lost only once.
 bool ExecutorLosses::isSameRunKnown(const Losses &losses, const ExecutorLifetime &executor,
-                                    RunNumber run)
+                                    const Loss &loss)
 {
     return std::any_of(losses.begin(), losses.end(), [&](const auto &it) {
         return it.first.first == executor.first && it.first.second != executor.second
-               && it.first.second.value() > 0 && it.second.run == run;
+               && it.first.second.value() > 0 && it.second.run == loss.run
+               && std::chrono::abs(it.second.time - loss.time) <= Constants::SAME_RUN_WINDOW_MS;
     });
 }
 
@@ -134,7 +135,7 @@
         removeTask(TaskId(oldest->first));
     }
     auto &executors = m_losses[task];
-    if (loss.run.value() > 0 && isSameRunKnown(executors, executor, loss.run))
+    if (loss.run.value() > 0 && isSameRunKnown(executors, executor, loss))
         return true;
     // A daemon that has only heard of the executor does not know which lifetime was lost.
     const ExecutorLifetime unknown{executor.first, Lifetime()};
@@ -351,6 +352,17 @@
     return list;
 }
 
+RunNumber ExecutorLosses::highestRun(const TaskId &task) const
+{
+    RunNumber highest;
+    const auto it = m_losses.find(task);
+    if (it == m_losses.end())
+        return highest;
+    for (const auto &[executor, loss] : it->second)
+        highest = std::max(highest, loss.run);
+    return highest;
+}
+
 std::size_t ExecutorLosses::count(const TaskId &task) const
 {
     const auto it = m_losses.find(task);
--- a/src/libs/dispatch/executorlosses.h
+++ b/src/libs/dispatch/executorlosses.h
@@ -73,6 +73,8 @@
     /// The whole record, in messages of limited size.
     std::vector<Wire::LostRuns> messages() const;
 
+    /// The highest number of a run that was lost with its executor; 0 if there is none.
+    RunNumber highestRun(const TaskId &task) const;
     /// Number of lifetimes of executors that were lost under the task.
     std::size_t count(const TaskId &task) const;
     /// The task may have crashed an executor, and has to run alone.
@@ -117,7 +119,7 @@
     using Losses = std::map<ExecutorLifetime, Loss>;
 
     static bool isSameRunKnown(const Losses &losses, const ExecutorLifetime &executor,
-                               RunNumber run);
+                               const Loss &loss);
     bool insert(const TaskId &task, const ExecutorLifetime &executor, const Loss &loss);
     bool remove(const ExecutorLifetime &executor, Base::TimePoint answered);
     bool prove(const ExecutorLifetime &executor, const char *proof);
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -70,15 +70,16 @@
         return;
     }
     const Base::Duration startDelay = m_losses.startDelay(id);
+    // Not a rejection: a task has been started, and may be at work for another coordinator.
     if (startDelay.count() > 0 && startDelay + chain > usefulTime) {
-        ++m_counters.rejected;
-        Base::log(LogLevel::Info, "jobRejected",
+        ++m_counters.timedOut;
+        Base::log(LogLevel::Info, "jobNotStartedAgain",
                   {{"job", id},
                    {"queue", policy.queue},
                    {"reason", "executorsLost"},
                    {"startDelay", startDelay},
                    {"useful", usefulTime}});
-        callback({JobOutcome::Rejected, "executorsLost", startDelay});
+        callback({JobOutcome::TimedOut, "executorsLost", {}});
         return;
     }
     // Estimates can be off by half or more, so a job is not rejected for its estimate alone while
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -6,8 +6,6 @@
 
 namespace Soak {
 
-/// A task under which this many executors crashed may be given up.
-
 const char *toString(RunOutcome outcome)
 {
     switch (outcome) {
