Dispatch: a late answer of an earlier lifetime does not end the present one

A 421 to a start or a stop that had been sent to an earlier lifetime of an executor, from another executor at its former address, counted as the end of the present lifetime: its runs were reported as lost, while they were at work, and started a second time. holdAnswered() checked the lifetime already. answerToAnEarlierLifetimeEndsThePresentOne failed before (a lost run and a recorded loss).

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -562,7 +562,7 @@
         fence(executorId);
         return;
     }
-    if (result.outcome == OrderOutcome::OtherLifetime)
+    if (result.outcome == OrderOutcome::OtherLifetime && lifetime == executor->lifetime())
         executorRestarted(*executor, Lifetime());
     if (result.outcome == OrderOutcome::NotSent) {
         executor->answerMissed(now);
@@ -654,7 +654,7 @@
     }
     if (result.refusal == RefusalReason::Fenced) {
         fence(executorId);
-    } else if (result.outcome == OrderOutcome::OtherLifetime) {
+    } else if (result.outcome == OrderOutcome::OtherLifetime && lifetime == executor->lifetime()) {
         executorRestarted(*executor, Lifetime());
     }
     // Otherwise the stop is repeated by checkRuns().
