Dispatch: report the end of a dropped task that was claimed again

A task that was dropped with its coordinator and claimed by the next one, before its run ended as failed, was removed without a report: its job waited for its deadline. failedEndOfADroppedTaskIsNotReported failed before.

--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -945,6 +945,10 @@
     if (!copy.isClaimed)
         return;
     updateEstimates(executor, end.task, copy, end.end);
+    // A task that was dropped and claimed again has a coordinator that waits for the report.
+    const auto task = m_tasks.find(end.task);
+    if (task != m_tasks.end())
+        task->second.isDropped &= task->second.isCancelled;
     switch (end.end) {
     case RunEnd::Done:
         ++m_counters.done;
--- a/tests/auto/dispatch/tst_dispatchorders.cpp
+++ b/tests/auto/dispatch/tst_dispatchorders.cpp
@@ -164,4 +164,22 @@
     BOOST_TEST(listener.lossCount == 0);
 }
 
+// The end of a run that had been dropped with its coordinator was not reported to the next one,
+// whose job then waited for its deadline.
+BOOST_AUTO_TEST_CASE(failedEndOfADroppedTaskIsNotReported)
+{
+    submit("c1", "a");
+    BOOST_REQUIRE(port.starts.size() == 1U);
+    port.starts[0].callback(answer(OrderOutcome::Accepted));
+    const TaskId task{JobId("a"), 0, 0, 0};
+    port.answerHolds(listing({{task, RunNumber(1)}}));
+    group->coordinatorLost(Base::DaemonId("c1"));
+    BOOST_TEST(port.stopCount == 1);
+    submit("c2", "a");
+    clock.advance(10ms);
+    port.answerHolds(listing({}, {{EndSequence(1), task, RunNumber(1), RunEnd::Failed}}));
+    clock.advance(50ms);
+    BOOST_TEST(listener.has("c2", "a", Wire::TaskReportState::Failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
