--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -86,7 +86,7 @@
 constexpr milliseconds EJECT_MS{2000};
 
 /// A task is given up when this many executors have provably crashed under it. After the first loss
-/// it runs alone, so the last one is its own doing.
+/// it runs alone, so a task at fault takes no others with it.
 constexpr std::size_t MAX_EXECUTOR_LOSSES = 2;
 /// A task waits this long after its last loss for the proof that the executors have crashed: they
 /// are back, or others are at their addresses, before their registrations expire after 4.5 s.
--- a/src/libs/dispatch/executorlosses.cpp
+++ b/src/libs/dispatch/executorlosses.cpp
@@ -405,10 +405,10 @@
     const auto it = m_losses.find(task);
     if (it == m_losses.end() || it->second.size() < Constants::MAX_EXECUTOR_LOSSES)
         return Base::Duration(0);
-    const bool isForgotten = isGivenUp(task); // before it may be started again
-    std::optional<Base::TimePoint> last;      // of the losses that count
+    const bool mustBeForgotten = isGivenUp(task);
+    std::optional<Base::TimePoint> last; // of the losses that count
     for (const auto &loss : it->second) {
-        if (isForgotten || !isProven(loss))
+        if (mustBeForgotten || !isProven(loss))
             last = std::max(last, std::optional(loss.second.time));
     }
     if (!last)
@@ -416,7 +416,7 @@
     // Without proof, only the number of starts limits what a task can crash.
     const std::size_t extra = it->second.size() - Constants::MAX_EXECUTOR_LOSSES;
     const bool isOverLimit = it->second.size() >= Constants::MAX_UNPROVEN_LOSSES;
-    const Base::Duration wait = isForgotten || isOverLimit
+    const Base::Duration wait = mustBeForgotten || isOverLimit
                                     ? Base::Duration(Constants::LOSS_RETENTION_MS)
                                     : Constants::LOSS_PROOF_WAIT_MS * (1U << extra);
     return std::max(Base::Duration(0), *last + wait - m_timers.now());
