--- /dev/null
+++ b/review/harness-2/cases.cpp
@@ -0,0 +1,199 @@
+// The cases of the review: load, disruption and verdict.
+#include "cases.h"
+
+#include "deployment.h"
+
+#include <csignal>
+
+namespace Review {
+
+static constexpr Milliseconds START_LIMIT_MS{20'000};
+static constexpr Milliseconds RETRANSMIT_MS{1300};
+static constexpr int PASSED = 0;
+static constexpr int BROKEN = 1;
+static constexpr int NOT_RUN = 2;
+
+static const ExecutorKind SMALL_KIND{"a", 16000, 65536};
+static const ExecutorKind LARGE_KIND{"b", 24000, 65536};
+
+/// Clients that send a job after the other, as PROTOCOL.md describes them.
+class Load
+{
+public:
+    Load(Deployment &deployment, std::function<Job()> makeJob)
+        : m_deployment(deployment)
+        , m_makeJob(std::move(makeJob))
+    {}
+
+    void start(std::size_t clients)
+    {
+        for (std::size_t i = 0; i < clients; ++i)
+            next(i);
+    }
+    void stop() { m_isStopped = true; }
+
+private:
+    void next(std::size_t client)
+    {
+        if (m_isStopped)
+            return;
+        Job job = m_makeJob();
+        job.id = m_deployment.makeJobId();
+        send(client, job, client % m_daemonCount, 3);
+    }
+
+    void send(std::size_t client, const Job &job, std::size_t daemon, int attempts)
+    {
+        m_deployment.submit(daemon, job, [=, this](int status, const std::string &) {
+            const bool isRepeated = status == 0 || status == 502 || status == 504;
+            if (isRepeated && attempts > 1) {
+                m_deployment.at(RETRANSMIT_MS, [=, this] {
+                    send(client, job, (daemon + 1) % m_daemonCount, attempts - 1);
+                });
+                return;
+            }
+            m_deployment.at(Milliseconds(status == 200 ? 5 : 100), [=, this] { next(client); });
+        });
+    }
+
+    Deployment &m_deployment;
+    const std::function<Job()> m_makeJob;
+    const std::size_t m_daemonCount = 2;
+    bool m_isStopped = false;
+};
+
+/// An executor of a large kind crashes and starts again, under its id and at its address, as one
+/// of a small kind.
+static int runOtherKind(Deployment &it, bool hasTrouble)
+{
+    static constexpr std::size_t EXECUTORS = 18;
+    static constexpr std::size_t RESTARTED = 9;
+    static constexpr Milliseconds DOWNTIME_MS{700};
+    static constexpr Milliseconds PAUSE_MS{3100}; // longer than contactMs
+    for (std::size_t i = 0; i < 2; ++i)
+        it.startDaemon(it.addDaemon("zone-1"));
+    for (std::size_t i = 0; i < EXECUTORS; ++i)
+        it.executors.add("zone-1", "r1-" + std::to_string(i / 6 + 1),
+                         i < RESTARTED ? LARGE_KIND : SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    Load load(it, [] {
+        Job job;
+        job.steps = {{2, 6800, 64, 200, 200, "", 0, {}}};
+        return job;
+    });
+    load.start(40);
+    it.runFor(Milliseconds(2000));
+    for (std::size_t executor = 0; executor < RESTARTED; ++executor) {
+        if (hasTrouble) {
+            it.executors.crash(executor);
+            it.at(DOWNTIME_MS, [&it, executor] { it.executors.restart(executor, SMALL_KIND); });
+        }
+        it.runFor(PAUSE_MS);
+    }
+    load.stop();
+    it.runFor(Milliseconds(2000));
+    return it.record.isBroken("LIMIT") ? BROKEN : PASSED;
+}
+
+/// Accepts connections and resets each of them when its first bytes arrive.
+class ResettingRelay
+{
+public:
+    explicit ResettingRelay(asio::io_context &io)
+        : m_port(freePort())
+        , m_acceptor(io, tcp::endpoint(asio::ip::make_address(LOOPBACK), m_port))
+    {
+        accept();
+    }
+    std::uint16_t port() const { return m_port; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &ec, tcp::socket socket) {
+            if (ec)
+                return;
+            const auto peer = std::make_shared<tcp::socket>(std::move(socket));
+            peer->async_wait(tcp::socket::wait_read, [peer](const asio::error_code &) {
+                asio::error_code ignored;
+                peer->set_option(asio::socket_base::linger(true, 0), ignored);
+                peer->close(ignored);
+            });
+            accept();
+        });
+    }
+
+    const std::uint16_t m_port;
+    tcp::acceptor m_acceptor;
+};
+
+/// The connection of a client's POST is reset. The client sends the job again 1.3 s later, and
+/// reaches another daemon. It cancels the job over a new connection, which leads to the first one.
+static int runCancelElsewhere(Deployment &it, bool hasTrouble)
+{
+    static constexpr std::size_t FIRST_DAEMON = 0; // that of the client's hash
+    static constexpr std::size_t OTHER_DAEMON = 1;
+    static constexpr Milliseconds CANCEL_AFTER_MS{600};
+    for (std::size_t i = 0; i < 2; ++i)
+        it.startDaemon(it.addDaemon("zone-1"));
+    for (std::size_t i = 0; i < 4; ++i)
+        it.executors.add("zone-1", "r1-1", SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    it.runFor(Milliseconds(4000));
+    ResettingRelay relay(it.io);
+    Job job;
+    job.id = it.makeJobId();
+    job.queue = "audit";
+    job.deadlineMs = 30000;
+    job.steps = {{2, 6800, 64, 4500, 4500, "", 0, {}}, {2, 6800, 64, 2000, 2000, "", 0, {0}}};
+    bool isAnswered = false;
+    const auto acknowledged = [&it, id = job.id](int status) {
+        if (status / 100 == 2 || status == 410)
+            it.executors.job(id).cancelled = Clock::now();
+    };
+    const auto cancelLater = [&] {
+        it.at(CANCEL_AFTER_MS, [&] { it.cancel(FIRST_DAEMON, job.id, acknowledged); });
+    };
+    const auto answered = [&](int, const std::string &) { isAnswered = true; };
+    if (hasTrouble) {
+        it.submit(
+            FIRST_DAEMON, job,
+            [&](int, const std::string &) {
+                it.at(RETRANSMIT_MS, [&] {
+                    it.submit(OTHER_DAEMON, job, answered);
+                    cancelLater();
+                });
+            },
+            relay.port());
+    } else {
+        it.submit(FIRST_DAEMON, job, answered);
+        cancelLater();
+    }
+    it.runUntil([&] { return isAnswered; }, Milliseconds(20'000));
+    it.runFor(Milliseconds(1000));
+    if (!it.executors.job(job.id).isCancelled())
+        return NOT_RUN;
+    return it.record.isBroken("UNASKED") ? BROKEN : PASSED;
+}
+
+int runCase(const std::string &name, const std::string &recordPath, const std::string &program,
+            bool hasTrouble)
+{
+    Record record(recordPath);
+    record.note("case " + name + (hasTrouble ? "" : ", without the disruption"));
+    Deployment deployment(record, program);
+    int result = NOT_RUN;
+    if (name == "other-kind")
+        result = runOtherKind(deployment, hasTrouble);
+    else if (name == "cancel-elsewhere")
+        result = runCancelElsewhere(deployment, hasTrouble);
+    record.note("result " + std::to_string(result) + ", "
+                + std::to_string(deployment.executors.startCount()) + " starts");
+    return result;
+}
+
+} // namespace Review
