--- a/review/harness-2/cases.cpp
+++ b/review/harness-2/cases.cpp
@@ -180,6 +180,112 @@
     return it.record.isBroken("UNASKED") ? BROKEN : PASSED;
 }
 
+/// The desired state drops the queue of a job that runs, and the client cancels the job then.
+static int runCancelDropped(Deployment &it, bool hasTrouble)
+{
+    static constexpr Milliseconds CHANGE_AFTER_MS{300};
+    static constexpr Milliseconds CANCEL_AFTER_MS{2600}; // longer than configApplyMs after that
+    static constexpr Milliseconds RETRY_MS{500};
+    static constexpr Milliseconds ACK_MS{4000};
+    for (std::size_t i = 0; i < 2; ++i)
+        it.startDaemon(it.addDaemon("zone-1"));
+    for (std::size_t i = 0; i < 4; ++i)
+        it.executors.add("zone-1", "r1-1", SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    it.runFor(Milliseconds(4000));
+    Job job;
+    job.id = it.makeJobId();
+    job.queue = "audit";
+    job.deadlineMs = 40000;
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        job.steps.push_back({2, 6800, 64, 4000, 4000, "", 0, {}});
+        if (i > 0)
+            job.steps.back().after = {i - 1};
+    }
+    bool isAnswered = false;
+    it.submit(0, job, [&](int, const std::string &) { isAnswered = true; });
+    if (hasTrouble)
+        it.at(CHANGE_AFTER_MS, [&it] { it.writeDesiredState("audit"); });
+    Clock::time_point requested;
+    const std::function<void()> cancel = [&] {
+        it.cancel(0, job.id, [&](int status) {
+            if (status / 100 == 2 || status == 410)
+                it.executors.job(job.id).cancelled = Clock::now();
+            else if (!isAnswered)
+                it.at(RETRY_MS, cancel);
+        });
+    };
+    it.at(CANCEL_AFTER_MS, [&] {
+        requested = Clock::now();
+        cancel();
+    });
+    it.at(CANCEL_AFTER_MS + ACK_MS, [&] {
+        Job &sent = it.executors.job(job.id);
+        if (sent.isCancelled())
+            return;
+        it.record.note("no acknowledgement of the cancelling after ackMs");
+        sent.cancelled = requested + ACK_MS;
+    });
+    it.runUntil([&] { return isAnswered; }, Milliseconds(30'000));
+    it.runFor(Milliseconds(1000));
+    if (!it.executors.job(job.id).isCancelled())
+        return NOT_RUN;
+    return it.record.isBroken("UNASKED") ? BROKEN : PASSED;
+}
+
+/// The connection of a client's POST is reset; the client sends the job again, and cancels it. A
+/// copy of the request arrives seconds after the answer.
+static int runLateCopy(Deployment &it, bool hasTrouble)
+{
+    static constexpr Milliseconds CANCEL_AFTER_MS{600};
+    static constexpr Milliseconds COPY_AFTER_MS{3500}; // after the answer to the POST
+    for (std::size_t i = 0; i < 2; ++i)
+        it.startDaemon(it.addDaemon("zone-1"));
+    for (std::size_t i = 0; i < 4; ++i)
+        it.executors.add("zone-1", "r1-1", SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    it.runFor(Milliseconds(4000));
+    ResettingRelay relay(it.io);
+    Job job;
+    job.id = it.makeJobId();
+    job.queue = "audit";
+    job.deadlineMs = 10000;
+    job.steps = {{2, 6800, 64, 1500, 1500, "", 0, {}}};
+    bool isAnswered = false;
+    const auto submitAndCancel = [&](std::size_t daemon) {
+        it.submit(daemon, job, [&, daemon](int status, const std::string &) {
+            isAnswered = true;
+            if (!hasTrouble || status / 100 != 2)
+                return;
+            it.at(COPY_AFTER_MS,
+                  [&, daemon] { it.submit(daemon, job, [](int, const std::string &) {}); });
+        });
+        it.at(CANCEL_AFTER_MS, [&it, &job, daemon] {
+            it.cancel(daemon, job.id, [&it, id = job.id](int status) {
+                if (status / 100 == 2 || status == 410)
+                    it.executors.job(id).cancelled = Clock::now();
+            });
+        });
+    };
+    if (hasTrouble) {
+        it.submit(
+            0, job,
+            [&](int, const std::string &) { it.at(RETRANSMIT_MS, [&] { submitAndCancel(1); }); },
+            relay.port());
+    } else {
+        submitAndCancel(0);
+    }
+    it.runUntil([&] { return isAnswered; }, Milliseconds(20'000));
+    it.runFor(COPY_AFTER_MS + Milliseconds(4000));
+    if (!isAnswered || !it.executors.job(job.id).isCancelled())
+        return NOT_RUN;
+    return it.record.isBroken("UNASKED") ? BROKEN : PASSED;
+}
+
 int runCase(const std::string &name, const std::string &recordPath, const std::string &program,
             bool hasTrouble)
 {
@@ -191,6 +297,10 @@
         result = runOtherKind(deployment, hasTrouble);
     else if (name == "cancel-elsewhere")
         result = runCancelElsewhere(deployment, hasTrouble);
+    else if (name == "cancel-dropped")
+        result = runCancelDropped(deployment, hasTrouble);
+    else if (name == "late-copy")
+        result = runLateCopy(deployment, hasTrouble);
     record.note("result " + std::to_string(result) + ", "
                 + std::to_string(deployment.executors.startCount()) + " starts");
     return result;
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -124,7 +124,7 @@
     return n;
 }
 
-void Deployment::writeDesiredState()
+void Deployment::writeDesiredState(const std::string &dropped)
 {
     const auto route = [](const char *queue, int priority) {
         return json{{"name", queue},
@@ -137,10 +137,17 @@
                     {"targetCompletionMs", 60},
                     {"timeoutMs", 1500}};
     };
+    json routes = json::array();
+    for (const json &it : {route("probe", 0), route("alarm", 1), route("audit", 2)}) {
+        if (it["name"] != dropped)
+            routes.push_back(it);
+    }
     m_version += 3;
+    record.note("desired state " + std::to_string(m_version)
+                + (dropped.empty() ? "" : " without the queue " + dropped));
     store.put("op", "config",
               json({{"version", m_version},
-                    {"routes", {route("probe", 0), route("alarm", 1), route("audit", 2)}},
+                    {"routes", routes},
                     {"services", {{{"name", "cellarlog"}, {"rejectsOverload", false}}}},
                     {"limits", {{"maxBodyBytes", 262144}}}})
                   .dump());
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -33,8 +33,8 @@
     /// Processes that have ended without a signal of the case.
     int unexpectedEnds();
 
-    /// Writes the next desired state.
-    void writeDesiredState();
+    /// Writes the next desired state, without the queue \a dropped if it is given.
+    void writeDesiredState(const std::string &dropped = {});
 
     /// Sends \a job to a daemon, through the port \a relay if it is given; \a done gets the status
     /// and state of the answer.
--- a/review/harness-2/executors.cpp
+++ b/review/harness-2/executors.cpp
@@ -295,7 +295,7 @@
     if (job.isCancelled() && Clock::now() - job.cancelled > CANCEL_MS) {
         m_record.broken("UNASKED", task + " is started more than "
                                        + std::to_string(CANCEL_MS.count())
-                                       + " ms after its cancelling was acknowledged");
+                                       + " ms after its cancelling was acknowledged, or was to be");
     }
     for (const auto &other : m_executors) {
         if (other->isUp && other->runs.contains(task)) {
--- a/review/harness-2/executors.h
+++ b/review/harness-2/executors.h
@@ -47,7 +47,7 @@
 
     std::size_t add(const std::string &zone, const std::string &rack, const ExecutorKind &kind);
     std::size_t count() const { return m_executors.size(); }
-    void addJob(const Job &job) { m_jobs[job.id] = job; }
+    void addJob(const Job &job) { m_jobs.try_emplace(job.id, job); }
     Job &job(const std::string &id) { return m_jobs.at(id); }
 
     /// Its process ends: connections are closed, new ones refused, and all runs are gone.
