--- a/review/harness-2/cases.cpp
+++ b/review/harness-2/cases.cpp
@@ -286,6 +286,94 @@
     return it.record.isBroken("UNASKED") ? BROKEN : PASSED;
 }
 
+/// Many users keep connections open to one daemon. A client's connection to it waits to be
+/// accepted; the client gives up at its deadline, and sends the job again to another daemon. Then
+/// some of the users leave, and the first daemon accepts the connection that its client has closed.
+static int runManyUsers(Deployment &it, bool hasTrouble)
+{
+    static constexpr std::size_t USERS = 1000;
+    static constexpr std::size_t LEAVING_USERS = 3;
+    static constexpr int ROUNDS = 5;
+    static constexpr std::uint32_t DEADLINE_MS = 2000;
+    static constexpr Milliseconds LEAVE_AFTER_MS{300}; // after the second POST
+    static constexpr Milliseconds ROUND_END_MS{4000};
+    static const char *const ZONES[] = {"zone-1", "zone-2"};
+    for (std::size_t i = 0; i < 4; ++i)
+        it.startDaemon(it.addDaemon(ZONES[i % 2]));
+    for (std::size_t i = 0; i < 8; ++i)
+        it.executors.add(ZONES[i % 2], "r1-" + std::to_string(i % 2 + 1), SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    it.runFor(Milliseconds(3000));
+    std::vector<std::unique_ptr<tcp::socket>> users;
+    const tcp::endpoint endpoint(asio::ip::make_address(LOOPBACK), it.daemon(0).callers);
+    for (int round = 0; round < ROUNDS; ++round) {
+        while (hasTrouble && users.size() < USERS) {
+            users.push_back(std::make_unique<tcp::socket>(it.io));
+            users.back()->connect(endpoint);
+        }
+        it.runFor(Milliseconds(500));
+        Job job;
+        job.id = it.makeJobId();
+        job.deadlineMs = DEADLINE_MS;
+        job.steps = {{2, 6800, 64, 900, 1500, "", 0, {}}};
+        bool isAnswered = false;
+        const auto answered = [&](int, const std::string &) { isAnswered = true; };
+        const auto call = it.submit(0, job, answered);
+        it.runUntil([&] { return isAnswered; }, Milliseconds(DEADLINE_MS));
+        if (!isAnswered) {
+            it.record.note("no answer to POST " + job.id + " in time; the client gives up");
+            call->abandon();
+            it.runFor(RETRANSMIT_MS);
+            it.submit(1, job, answered);
+            it.runFor(LEAVE_AFTER_MS);
+            it.record.note(std::to_string(LEAVING_USERS) + " users leave");
+            users.resize(users.size() - std::min(users.size(), LEAVING_USERS));
+        }
+        it.runUntil([&] { return isAnswered; }, ROUND_END_MS);
+    }
+    return it.record.isBroken("TWICE") ? BROKEN : PASSED;
+}
+
+/// A client sends two jobs over one connection without waiting for the first response. The
+/// connection is reset, and the client sends both again 1.3 s later, over connections of their own
+/// to another daemon.
+static int runResetPipelined(Deployment &it, bool hasTrouble)
+{
+    static constexpr Milliseconds RESET_AFTER_MS{300};
+    static constexpr int ROUNDS = 4;
+    static const char *const ZONES[] = {"zone-1", "zone-2"};
+    for (std::size_t i = 0; i < 4; ++i)
+        it.startDaemon(it.addDaemon(ZONES[i % 2]));
+    for (std::size_t i = 0; i < 8; ++i)
+        it.executors.add(ZONES[i % 2], "r1-" + std::to_string(i % 2 + 1), SMALL_KIND);
+    it.writeDesiredState();
+    if (!it.waitForService(START_LIMIT_MS))
+        return NOT_RUN;
+    it.runFor(Milliseconds(3000));
+    for (int round = 0; round < ROUNDS; ++round) {
+        std::vector<Job> jobs(2);
+        for (Job &job : jobs) {
+            job.id = it.makeJobId();
+            job.steps = {{2, 6800, 64, 2500, 2500, "", 0, {}}};
+        }
+        const auto answers = std::make_shared<std::size_t>(0);
+        const auto answered = [answers](int, const std::string &) { ++*answers; };
+        const auto call = it.submitPipelined(0, jobs, answered);
+        if (hasTrouble) {
+            it.runFor(RESET_AFTER_MS);
+            it.record.note("the connection is reset");
+            call->reset();
+            it.runFor(RETRANSMIT_MS);
+            for (const Job &job : jobs)
+                it.submit(1, job, answered);
+        }
+        it.runUntil([&] { return *answers == jobs.size(); }, Milliseconds(12'000));
+    }
+    return it.record.isBroken("TWICE") ? BROKEN : PASSED;
+}
+
 int runCase(const std::string &name, const std::string &recordPath, const std::string &program,
             bool hasTrouble)
 {
@@ -301,6 +389,10 @@
         result = runCancelDropped(deployment, hasTrouble);
     else if (name == "late-copy")
         result = runLateCopy(deployment, hasTrouble);
+    else if (name == "many-users")
+        result = runManyUsers(deployment, hasTrouble);
+    else if (name == "reset-pipelined")
+        result = runResetPipelined(deployment, hasTrouble);
     record.note("result " + std::to_string(result) + ", "
                 + std::to_string(deployment.executors.startCount()) + " starts");
     return result;
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -162,9 +162,7 @@
            + "\r\n\r\n" + body;
 }
 
-std::shared_ptr<Call> Deployment::submit(std::size_t daemon, const Job &job,
-                                         std::function<void(int, const std::string &)> done,
-                                         std::uint16_t relay)
+std::string Deployment::encode(const Job &job)
 {
     executors.addJob(job);
     json phases = json::array();
@@ -183,16 +181,42 @@
     }
     const std::string body =
         json({{"spec", job.spec()}, {"phases", phases}, {"bestEffort", true}}).dump();
+    return request("POST", job.queue, job.id, job.deadlineMs, body);
+}
+
+Call::Done Deployment::answerHandler(const std::string &what,
+                                     std::function<void(int, const std::string &)> done)
+{
+    return [this, what, done = std::move(done)](int status, const std::string &text) {
+        const json answer = json::parse(text, nullptr, false);
+        const std::string state = answer.is_object() ? answer.value("state", "") : "";
+        record.note("answer to POST " + what + ": " + std::to_string(status) + " " + state);
+        done(status, state);
+    };
+}
+
+std::shared_ptr<Call> Deployment::submit(std::size_t daemon, const Job &job,
+                                         std::function<void(int, const std::string &)> done,
+                                         std::uint16_t relay)
+{
     record.note("POST " + job.id + " to " + m_daemons[daemon].name);
-    return Call::send(
-        io, relay == 0 ? m_daemons[daemon].callers : relay,
-        request("POST", job.queue, job.id, job.deadlineMs, body),
-        [this, id = job.id, done = std::move(done)](int status, const std::string &text) {
-            const json answer = json::parse(text, nullptr, false);
-            const std::string state = answer.is_object() ? answer.value("state", "") : "";
-            record.note("answer to POST " + id + ": " + std::to_string(status) + " " + state);
-            done(status, state);
-        });
+    return Call::send(io, relay == 0 ? m_daemons[daemon].callers : relay, encode(job),
+                      answerHandler(job.id, std::move(done)));
+}
+
+std::shared_ptr<Call>
+Deployment::submitPipelined(std::size_t daemon, const std::vector<Job> &jobs,
+                            std::function<void(int, const std::string &)> done)
+{
+    std::string text;
+    std::string ids;
+    for (const Job &it : jobs) {
+        text += encode(it);
+        ids += (ids.empty() ? "" : ", ") + it.id;
+    }
+    record.note("POST " + ids + " over one connection to " + m_daemons[daemon].name);
+    return Call::send(io, m_daemons[daemon].callers, text,
+                      answerHandler("one of " + ids, std::move(done)), jobs.size());
 }
 
 std::shared_ptr<Call> Deployment::cancel(std::size_t daemon, const std::string &job,
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -41,6 +41,9 @@
     std::shared_ptr<Call> submit(std::size_t daemon, const Job &job,
                                  std::function<void(int, const std::string &)> done,
                                  std::uint16_t relay = 0);
+    /// Sends \a jobs over one connection; \a done is called for each answer.
+    std::shared_ptr<Call> submitPipelined(std::size_t daemon, const std::vector<Job> &jobs,
+                                          std::function<void(int, const std::string &)> done);
     std::shared_ptr<Call> cancel(std::size_t daemon, const std::string &job,
                                  std::function<void(int)> done);
     std::string makeJobId();
@@ -57,6 +60,9 @@
     Executors executors;
 
 private:
+    std::string encode(const Job &job);
+    Call::Done answerHandler(const std::string &what,
+                             std::function<void(int, const std::string &)> done);
     void probe(std::size_t daemon, const std::shared_ptr<std::set<std::size_t>> &served);
 
     const std::string m_program;
--- a/review/harness-2/http.cpp
+++ b/review/harness-2/http.cpp
@@ -203,16 +203,17 @@
         it->end();
 }
 
-Call::Call(asio::io_context &io, std::string text, Done done)
+Call::Call(asio::io_context &io, std::string text, Done done, std::size_t requests)
     : m_socket(io)
     , m_text(std::move(text))
     , m_done(std::move(done))
+    , m_open(requests)
 {}
 
 std::shared_ptr<Call> Call::send(asio::io_context &io, std::uint16_t port, std::string text,
-                                 Done done)
+                                 Done done, std::size_t requests)
 {
-    const std::shared_ptr<Call> call(new Call(io, std::move(text), std::move(done)));
+    const std::shared_ptr<Call> call(new Call(io, std::move(text), std::move(done), requests));
     call->m_socket.async_connect(
         {asio::ip::make_address(LOOPBACK), port}, [call](const asio::error_code &ec) {
             if (ec) {
@@ -233,6 +234,13 @@
     m_socket.close(ec);
 }
 
+void Call::reset()
+{
+    asio::error_code ec;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    abandon();
+}
+
 void Call::read()
 {
     m_socket.async_read_some(
@@ -245,23 +253,34 @@
                 return;
             }
             self->m_received.append(self->m_buffer.data(), n);
-            const std::size_t end = self->m_received.find("\r\n\r\n");
-            if (end == std::string::npos) {
-                self->read();
-                return;
+            while (self->m_done && self->takeResponse()) {
             }
-            std::map<std::string, std::string> fields;
-            const std::string line = parseHead(self->m_received.substr(0, end), fields);
-            const std::size_t length = std::stoul("0" + fields["content-length"]);
-            if (self->m_received.size() < end + 4 + length) {
+            if (self->m_done)
                 self->read();
-                return;
-            }
-            self->finish(std::atoi(line.c_str() + line.find(' ') + 1),
-                         self->m_received.substr(end + 4, length));
         });
 }
 
+/// Returns false if no response is complete.
+bool Call::takeResponse()
+{
+    const std::size_t end = m_received.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    std::map<std::string, std::string> fields;
+    const std::string line = parseHead(m_received.substr(0, end), fields);
+    const std::size_t length = std::stoul("0" + fields["content-length"]);
+    if (m_received.size() < end + 4 + length)
+        return false;
+    const std::string body = m_received.substr(end + 4, length);
+    m_received.erase(0, end + 4 + length);
+    const int status = std::atoi(line.c_str() + line.find(' ') + 1);
+    if (--m_open == 0)
+        finish(status, body);
+    else
+        m_done(status, body);
+    return true;
+}
+
 void Call::finish(int status, const std::string &body)
 {
     asio::error_code ec;
--- a/review/harness-2/http.h
+++ b/review/harness-2/http.h
@@ -57,27 +57,33 @@
     std::set<std::shared_ptr<Session>> m_sessions;
 };
 
-/// One request over a connection of its own. Status 0 stands for a connection without a response.
+/// One request, or several pipelined ones, over a connection of its own. \a done is called for each
+/// response, and once more if the connection ends before the last one: status 0 stands for a
+/// connection without a response.
 class Call : public std::enable_shared_from_this<Call>
 {
 public:
     using Done = std::function<void(int status, const std::string &body)>;
 
     static std::shared_ptr<Call> send(asio::io_context &io, std::uint16_t port, std::string text,
-                                      Done done);
+                                      Done done, std::size_t requests = 1);
     /// Closes the connection; \a done is not called.
     void abandon();
+    /// The same with a reset.
+    void reset();
 
 private:
-    Call(asio::io_context &io, std::string text, Done done);
+    Call(asio::io_context &io, std::string text, Done done, std::size_t requests);
     void read();
     void finish(int status, const std::string &body);
+    bool takeResponse();
 
     tcp::socket m_socket;
     const std::string m_text;
     std::string m_received;
     std::array<char, 4096> m_buffer{};
     Done m_done;
+    std::size_t m_open; // requests without a response
 };
 
 } // namespace Review
