--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -2,6 +2,7 @@
 #include "deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -81,6 +82,7 @@
     if (pid < 0)
         throw std::runtime_error("can't start a process");
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // if this program is ended from outside
         const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
