--- a/review/harness-2/cases.cpp
+++ b/review/harness-2/cases.cpp
@@ -136,7 +136,7 @@
     static constexpr std::size_t FIRST_DAEMON = 0; // that of the client's hash
     static constexpr std::size_t OTHER_DAEMON = 1;
     static constexpr Milliseconds CANCEL_AFTER_MS{600};
-    for (std::size_t i = 0; i < 2; ++i)
+    for (std::size_t i = 0; i < 3; ++i)
         it.startDaemon(it.addDaemon("zone-1"));
     for (std::size_t i = 0; i < 4; ++i)
         it.executors.add("zone-1", "r1-1", SMALL_KIND);
@@ -241,7 +241,7 @@
 {
     static constexpr Milliseconds CANCEL_AFTER_MS{600};
     static constexpr Milliseconds COPY_AFTER_MS{3500}; // after the answer to the POST
-    for (std::size_t i = 0; i < 2; ++i)
+    for (std::size_t i = 0; i < 3; ++i)
         it.startDaemon(it.addDaemon("zone-1"));
     for (std::size_t i = 0; i < 4; ++i)
         it.executors.add("zone-1", "r1-1", SMALL_KIND);
