--- a/tests/system/platformstandin.cpp
+++ b/tests/system/platformstandin.cpp
@@ -18,6 +18,7 @@
 static constexpr Milliseconds RUN_TIME_MS{5};
 static constexpr Milliseconds LISTING_CHECK_MS{5};
 static constexpr std::uint64_t BORN = 1767266036033;
+static constexpr const char *ENDLESS_SPEC = "endless";
 
 static std::unique_ptr<Http::Server> openServer(asio::io_context &io, std::uint16_t port,
                                                 Http::RequestHandler handler)
@@ -87,6 +88,8 @@
 
 void StoreStandIn::handle(const Http::Request &request, const Http::Respond &respond)
 {
+    if (m_isAway)
+        return;
     if (request.rawPath == "/rows-tx") {
         transact(request, respond);
         return;
@@ -158,6 +161,8 @@
 
 void StoreStandIn::answerFeeds()
 {
+    if (m_isAway)
+        return;
     for (auto it = m_feeds.begin(); it != m_feeds.end();) {
         const std::string rows = changes((*it)->table, (*it)->after);
         if (rows.empty()) {
@@ -195,10 +200,19 @@
     for (const auto &[task, run] : m_running)
         body["running"].push_back({task, run, "", 0});
     for (std::size_t i = seenUpTo; i < m_ended.size(); ++i)
-        body["ended"].push_back({i + 1, m_ended[i].first, m_ended[i].second, "done", ""});
+        body["ended"].push_back({i + 1, m_ended[i].task, m_ended[i].run, m_ended[i].how, ""});
     return body.dump();
 }
 
+void ExecutorStandIn::end(const std::string &task, const char *how)
+{
+    const auto it = m_running.find(task);
+    if (it == m_running.end())
+        return;
+    m_ended.push_back({task, it->second, how});
+    m_running.erase(it);
+}
+
 void ExecutorStandIn::hold(std::uint64_t seenUpTo, Base::TimePoint until,
                            const Http::Respond &respond)
 {
@@ -221,11 +235,11 @@
         ++m_starts;
         const std::string task = body.at("task");
         m_running[task] = body.at("run");
-        m_timers.schedule(RUN_TIME_MS, [this, task] {
-            m_ended.emplace_back(task, m_running.at(task));
-            m_running.erase(task);
-        });
+        if (body.value("spec", "") != ENDLESS_SPEC)
+            m_timers.schedule(RUN_TIME_MS, [this, task] { end(task, "done"); });
     }
+    if (request.rawPath == "/run-stop")
+        end(body.at("task"), "stopped");
     reply(respond,
           json({{"clockMs", Base::toMilliseconds(m_timers.now().time_since_epoch())}}).dump());
 }
--- a/tests/system/platformstandin.h
+++ b/tests/system/platformstandin.h
@@ -28,6 +28,8 @@
     /// version.
     void writeRaw(const std::string &table, const std::string &key, const std::string &text);
     bool hasRow(const std::string &table, const std::string &key) const;
+    /// Leaves all requests unanswered that come meanwhile.
+    void setAway(bool isAway) { m_isAway = isAway; }
     /// Requests for rows so far.
     std::uint64_t reads() const { return m_reads; }
 
@@ -57,10 +59,12 @@
     std::map<std::string, std::map<std::string, Row>> m_tables; // rows by key
     std::uint64_t m_version = 0;
     std::uint64_t m_reads = 0;
+    bool m_isAway = false;
     std::list<std::shared_ptr<Feed>> m_feeds;
 };
 
-/// Runs every task for a few milliseconds, whatever its token and lease.
+/// Runs every task for a few milliseconds, whatever its token and lease; one with the spec
+/// "endless" until it is stopped.
 class ExecutorStandIn
 {
 public:
@@ -74,12 +78,20 @@
     void handle(const Http::Request &request, const Http::Respond &respond);
     void hold(std::uint64_t seenUpTo, Base::TimePoint until, const Http::Respond &respond);
     std::string listing(std::uint64_t seenUpTo) const;
+    void end(const std::string &task, const char *how);
 
     Base::Timers &m_timers;
     const std::uint16_t m_port;
     std::unique_ptr<Http::Server> m_server;
-    std::map<std::string, std::uint64_t> m_running;             // run numbers by task
-    std::vector<std::pair<std::string, std::uint64_t>> m_ended; // in order
+    struct End
+    {
+        std::string task;
+        std::uint64_t run = 0;
+        std::string how;
+    };
+
+    std::map<std::string, std::uint64_t> m_running; // run numbers by task
+    std::vector<End> m_ended;                       // in order
     std::size_t m_starts = 0;
 };
 
--- /dev/null
+++ b/tests/system/tst_openrequests.cpp
@@ -0,0 +1,123 @@
+// Daemons on the platform, with little memory, while a crowd of callers keeps requests open: what
+// requests leave behind until their answers, what the kernel holds for them, and jobs that no
+// executor can run. Checks only that the processes live within the limits of their hosts, and that
+// each serves an ordinary job afterwards.
+#include "crowdfixture.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <functional>
+
+using namespace SystemTest;
+using namespace TestSupport;
+
+/// The whole program ends within this time, whatever happens.
+static constexpr unsigned GUARD_S = 590;
+/// Below the connections that the host grants callers, so that each request is read.
+static constexpr std::size_t CROWD = 900;
+/// Below the limit for a body. Without limits, the requests of the crowd take 225 MB.
+static constexpr std::size_t BODY_BYTES = 250'000;
+/// The largest job, and a crowd whose tasks take over 400 MB without limits.
+static constexpr std::size_t MAX_TASKS = 4000;
+static constexpr std::size_t CROWD_OF_LARGE_JOBS = 200;
+static constexpr int WAVES = 40;
+static constexpr std::size_t WAVE = 240;
+static constexpr Milliseconds WAVE_MS{300};
+/// The largest job takes seconds on the only executor.
+static constexpr Milliseconds LARGEST_JOB_MS{60'000};
+/// Time that the process is stopped while the kernel receives.
+static constexpr Milliseconds STOPPED_MS{1'500};
+
+struct Guard
+{
+    Guard() { ChildProcess::armWatchdog(GUARD_S); }
+};
+BOOST_TEST_GLOBAL_FIXTURE(Guard);
+
+namespace {
+
+struct Fixture : CrowdFixture
+{
+    Http::ClientResponse readiness(std::size_t daemon = 0)
+    {
+        Http::ClientRequest request;
+        request.url =
+            "http://127.0.0.1:" + std::to_string(daemons[daemon]->readiness()) + "/readiness";
+        return send(std::move(request));
+    }
+    /// Bodies on the connections of which the last byte is missing.
+    void crowdOfUnfinishedBodies(std::size_t count)
+    {
+        const auto body = std::make_shared<const std::string>(BODY_BYTES - 1, ' ');
+        for (std::size_t i = 0; i < count; ++i) {
+            addSender(daemons[0]->callers(),
+                      {std::make_shared<const std::string>(jobHeader(BODY_BYTES)), body});
+        }
+    }
+};
+
+struct DomainFixture : CrowdFixture
+{
+    DomainFixture()
+        : CrowdFixture(3)
+    {}
+    /// Kills all daemons but the first, and calls \a check after each. Whichever owns the
+    /// executors, the others take them over.
+    void loseDaemons(const std::function<void()> &check)
+    {
+        while (daemons.size() > 1) {
+            daemons.back()->process().kill();
+            daemons.pop_back();
+            check();
+        }
+    }
+};
+
+/// \a json, padded with \a c before its last \a tail bytes.
+std::string padded(std::string json, std::size_t tail, char c)
+{
+    return json.insert(json.size() - tail, BODY_BYTES - json.size(), c);
+}
+
+} // namespace
+
+// Guards against a load balancer that gets no answer while callers and others send too much.
+BOOST_FIXTURE_TEST_CASE(readinessBesideCrowds, Fixture)
+{
+    const auto isReady = [this] { return readiness().httpStatus == 200; };
+    crowdOfUnfinishedBodies(CROWD);
+    waitForCrowd();
+    BOOST_TEST(waitUntil(isReady), "unfinished bodies to the callers' port");
+    crowd("GET /readiness HTTP/1.1\r\nHost: a\r\n", CROWD, 1, daemons[0]->readiness());
+    BOOST_TEST(waitUntil(isReady), "headers to the readiness port that do not end");
+    crowd("", CROWD, 1, daemons[0]->readiness());
+    BOOST_TEST(waitUntil(isReady), "silent connections to the readiness port");
+    crowd("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", CROWD, 100, daemons[0]->operators());
+    BOOST_TEST(waitUntil(isReady), "metrics that are not read");
+    crowd(std::string("\0\xff\xff\xff", 4), CROWD, 1, daemons[0]->peers());
+    BOOST_TEST(waitUntil(isReady), "frames to the peers' port");
+    check("readiness beside crowds");
+}
+
+// Guards against limits that refuse a caller within those that the desired state states.
+BOOST_FIXTURE_TEST_CASE(largestJobsAreServed, Fixture)
+{
+    const std::string job =
+        R"({"spec":"text","bestEffort":true,"phases":[{"count":1,"cpu":500,"estimateMs":20)";
+    BOOST_TEST(completesJob(padded(job + R"(,"affinity":"")" + "}]}", 4, 'x')));
+    BOOST_TEST(completesJob(job + R"(,"requirements":"a"}]})"));
+    std::string steps =
+        R"({"spec":")" + std::string(4000, 'x') + R"(","bestEffort":true,"phases":[)";
+    for (int i = 0; i < 256; ++i)
+        steps += std::string(i > 0 ? "," : "") + R"({"count":1,"cpu":500,"estimateMs":1})";
+    BOOST_TEST(completesJob(steps + "]}"));
+    const std::string manyTasks = R"({"spec":"text","bestEffort":true,"phases":[{"count":)"
+                                  + std::to_string(MAX_TASKS) + R"(,"cpu":5,"estimateMs":1}]})";
+    const auto response = sendJob(manyTasks, {}, 0, "slow", LARGEST_JOB_MS);
+    BOOST_TEST(response.body.find("completed") != std::string::npos, response.body);
+    check("largest jobs");
+}
