Http: an open request no longer holds its text

Callers saw: the daemon of a host of 120 MB was killed when 900 callers waited for one job, each having sent a body of 250,000 bytes.

Cause: the function that sends the response kept RESTinio's request object, which owns header and body, until the answer. The ledger counts a request only until it is complete.

The function now keeps RESTinio's connection, the number of the request and whether the connection is kept alive, which is all that an answer needs.

--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -133,14 +133,35 @@
     return request;
 }
 
-static void sendResponse(const std::shared_ptr<Connection> &connection,
-                         const restinio::request_handle_t &handle, Response &&response)
+/// What is needed of a request to answer it. RESTinio's object also holds the text of the request,
+/// for which an open request would take memory until it is answered.
+struct AnswerSlot
 {
+    AnswerSlot(std::shared_ptr<Connection> it, const restinio::request_handle_t &handle)
+        : connection(std::move(it))
+        , restinioConnection(std::move(restinio::impl::access_req_connection(*handle)))
+        , request(handle->request_id())
+        , isKeptAlive(handle->header().should_keep_alive())
+    {}
+
+    std::shared_ptr<Connection> connection;
+    restinio::impl::connection_handle_t restinioConnection; // null once the answer is sent
+    restinio::request_id_t request;
+    bool isKeptAlive;
+};
+
+static void sendResponse(AnswerSlot &slot, Response &&response)
+{
+    if (!slot.restinioConnection)
+        return;
+    const std::shared_ptr<Connection> &connection = slot.connection;
     const std::size_t n = response.body.size() + Constants::ANSWER_HEADER_BYTES;
     connection->ledger().answerQueued(connection->number(), n, std::chrono::steady_clock::now());
-    auto builder = handle->create_response(restinio::http_status_line_t(
-        restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
-        response.status < 400 ? "OK" : "Error"));
+    restinio::response_builder_t<restinio::restinio_controlled_output_t> builder(
+        restinio::http_status_line_t(
+            restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
+            response.status < 400 ? "OK" : "Error"),
+        std::exchange(slot.restinioConnection, {}), slot.request, slot.isKeptAlive);
     builder.append_header(restinio::http_field::content_type, response.contentType);
     if (response.closeConnection)
         builder.connection_close();
@@ -196,18 +217,18 @@
         connection->end();
         return restinio::request_accepted();
     }
+    const auto slot = std::make_shared<AnswerSlot>(connection, handle);
     Request request;
     try {
         request = makeRequest(options, handle);
     } catch (const std::exception &) {
-        sendResponse(connection, handle,
-                     {400, R"({"failure":{"code":"badRequest","message":"malformed URL"}})",
-                      "application/json", 0, false});
+        sendResponse(*slot, {400, R"({"failure":{"code":"badRequest","message":"malformed URL"}})",
+                             "application/json", 0, false});
         return restinio::request_accepted();
     }
-    handler(std::move(request), [connection, handle](Response response) {
+    handler(std::move(request), [slot](Response response) {
         try {
-            sendResponse(connection, handle, std::move(response));
+            sendResponse(*slot, std::move(response));
         } catch (const std::exception &error) {
             // The connection was closed while the request was handled.
             Base::log(Base::LogLevel::Debug, "responseNotSent", {{"reason", error.what()}});
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -77,6 +77,15 @@
     }
 };
 
+/// A job that fills three quarters of the executor until it is stopped. Another of the kind waits;
+/// an ordinary job has room beside it.
+std::string endlessJob(const std::string &step)
+{
+    return std::string(R"({"spec":")") + ENDLESS_SPEC
+           + R"(","bestEffort":true,"phases":[{"count":1,"cpu":12000,"estimateMs":1)" + step
+           + "}]}";
+}
+
 /// \a json, padded with \a c before its last \a tail bytes.
 std::string padded(std::string json, std::size_t tail, char c)
 {
@@ -85,6 +94,19 @@
 
 } // namespace
 
+// Guards against the same by callers of one job, each of whom sends its whole text.
+BOOST_FIXTURE_TEST_CASE(callersOfOneJob, Fixture)
+{
+    const auto header = std::make_shared<const std::string>(jobHeader(BODY_BYTES));
+    const auto body = std::make_shared<const std::string>(padded(endlessJob(""), 0, ' '));
+    for (std::size_t i = 0; i < CROWD; ++i) {
+        addSender(daemons[0]->callers(), {header, body});
+        paceCrowd();
+    }
+    waitForCrowd();
+    check("callers of one job");
+}
+
 // Guards against a load balancer that gets no answer while callers and others send too much.
 BOOST_FIXTURE_TEST_CASE(readinessBesideCrowds, Fixture)
 {
