Platform: labels that no executor can have are cut

Callers saw: the daemon ran out of memory by 900 open jobs with one text field of 250,000 bytes each (`requirements` or `affinity`), within the limit for a body. The field also went to the owners of the groups with each batch.

Cause: a job kept labels of any length until its end. Only `spec` had a limit.

Names of executors' labels have at most 200 bytes, longer ones are ignored. A label of a job that is cut to 201 bytes therefore matches none of them either, so no caller is refused for its length, as would be with a limit. Repeated entries of `after` count once.

--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -370,6 +370,40 @@
     BOOST_TEST(job->spec.steps[1].maxPerExecutor == 2U);
 }
 
+// Guards against labels of any length, which a job keeps until its end and sends to other daemons.
+BOOST_AUTO_TEST_CASE(labelsTooLongForExecutorsAreCut)
+{
+    const std::string longest(MAX_NAME_BYTES, 'x');
+    for (const char *member : {"requirements", "affinity"}) {
+        const auto label = [&](const std::string &text) {
+            const auto job = decode(R"({"bestEffort":true,"phases":[{"count":1,")"
+                                    + std::string(member) + R"(":")" + text + R"("}]})");
+            BOOST_REQUIRE(job.has_value());
+            const Dispatch::StepSpec &step = job->spec.steps[0];
+            return member == std::string("affinity") ? step.preferredRack : step.requiredLabel;
+        };
+        BOOST_TEST(label(longest) == longest);
+        const std::string cut = label(std::string(250'000, 'x'));
+        BOOST_TEST(cut.size() < 1000U);
+        // No executor has it.
+        json row = registrations::registration();
+        row["labels"] = {cut};
+        BOOST_TEST(decodeExecutor("i-1", row.dump())->kind != cut);
+    }
+}
+
+// Guards against lists that name a step many times.
+BOOST_AUTO_TEST_CASE(repeatedIndexesCountOnce)
+{
+    std::string after = "0";
+    for (int i = 0; i < 1000; ++i)
+        after += ",0";
+    const auto job =
+        decode(R"({"bestEffort":true,"phases":[{"count":1},{"count":1,"after":[)" + after + "]}]}");
+    BOOST_REQUIRE(job.has_value());
+    BOOST_TEST(job->spec.steps[1].after.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(malformedJobs)
 {
     const std::string step = R"({"count":1,"cpu":1})";
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -94,6 +94,28 @@
 
 } // namespace
 
+// Guards against a process that runs out of memory by jobs with a long label, kept until their
+// answers.
+BOOST_FIXTURE_TEST_CASE(longLabels, Fixture)
+{
+    crowdOfJobs(padded(endlessJob(R"(,"requirements":"")"), 4, 'x'), CROWD);
+    check("long labels");
+}
+
+// Guards against the same by a field that does not restrict the executors.
+BOOST_FIXTURE_TEST_CASE(longRacks, Fixture)
+{
+    crowdOfJobs(padded(endlessJob(R"(,"affinity":"")"), 4, 'x'), CROWD);
+    check("long racks");
+}
+
+// Guards against the same by two requests on each connection.
+BOOST_FIXTURE_TEST_CASE(twoRequestsPerConnection, Fixture)
+{
+    crowdOfJobs(padded(endlessJob(R"(,"affinity":"")"), 4, 'x'), CROWD, 2);
+    check("two requests on each connection");
+}
+
 // Guards against the same by callers of one job, each of whom sends its whole text.
 BOOST_FIXTURE_TEST_CASE(callersOfOneJob, Fixture)
 {
@@ -125,6 +147,30 @@
     check("readiness beside crowds");
 }
 
+// Guards against a process that ends, hangs or grows when its settings or the desired state change,
+// or the store is away, while a crowd keeps requests open.
+BOOST_FIXTURE_TEST_CASE(changesBesideCrowd, Fixture)
+{
+    for (int i = 0; i < 3; ++i) {
+        crowdOfJobs(padded(endlessJob(R"(,"affinity":"")"), 4, 'x'), CROWD / 4);
+        daemons[0]->process().signal(SIGHUP);
+        changeDesiredState();
+        crowdOfUnfinishedBodies(CROWD / 4);
+        waitForCrowd();
+        store.setAway(true);
+        pass(Milliseconds(500));
+        store.setAway(false);
+        changeDesiredState();
+        check("changes beside a crowd");
+        senders.resize(senders.size() / 2);
+    }
+    daemons[0]->process().signal(SIGTERM);
+    crowdOfUnfinishedBodies(CROWD / 4);
+    BOOST_TEST(waitUntil([this] { return !daemons[0]->process().isRunning(); }),
+               "does not end after SIGTERM");
+    BOOST_TEST(daemons[0]->process().exitCode() == 0);
+}
+
 // Guards against limits that refuse a caller within those that the desired state states.
 BOOST_FIXTURE_TEST_CASE(largestJobsAreServed, Fixture)
 {
