Dispatch: budgets for the jobs and the tasks that a daemon holds

Callers saw: the daemon ran out of memory by 200 requests of 100 bytes, each for 4,000 tasks, and by 200 requests for 256 steps with a text of 4,000 bytes; no ordinary job was answered meanwhile.

Cause: nothing limited what the jobs in progress take together. The coordinator keeps a record for each task, the owner of a group a task, two entries of its queue and the text of each batch. The owner holds them for the callers of all daemons.

MemoryBudget counts jobs at the coordinator (`dispatch.maxJobBytes`, default a tenth of the memory) and batches with their tasks at the owner (`dispatch.maxTaskBytes`, a sixth), as estimated from their records. Large objects take half of a budget at most, so that a crowd of them leaves room for others. A job that finds no room is rejected with 503 and Retry-After 1; an owner reports the tasks of a new batch as refused, without an executor, and the coordinator rejects a job of which nothing has started. Claims of tasks that may have started are always taken. Metrics and one log line for each budget. The largest job, of 4,000 tasks, still fits (largestJobsAreServed).

--- a/src/libs/dispatch/batchinfo.h
+++ b/src/libs/dispatch/batchinfo.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatchtypes.h"
+#include "memorybudget.h"
 
 #include <wire/messages.h>
 
@@ -16,6 +17,7 @@
     Base::TimePoint accepted; // when the job was accepted by its coordinator
     Base::TimePoint objective;
     Base::TimePoint deadline;
+    MemoryBudget::Share memory; // of the batch and of its tasks, until the last of them has ended
 };
 
 } // namespace Dispatch
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace Dispatch::Constants {
@@ -237,6 +238,16 @@
 /// How often a task may be returned by groups whose load report was out of date. Each return costs
 /// a message to the group and back.
 constexpr std::uint32_t MAX_RETURNS = 2;
+/// Estimates of the memory for a task: at the coordinator, beside its record, and at the owner of
+/// its group, where its id is in the table of tasks and in two orders of the queue.
+constexpr std::size_t COORDINATED_TASK_BYTES = 64;
+constexpr std::size_t QUEUED_TASK_BYTES = 800;
+/// The same for a job beside its record.
+constexpr std::size_t COORDINATED_JOB_BYTES = 512;
+/// Larger batches share half of the memory for tasks: those of about 80 tasks.
+constexpr std::size_t SMALL_BATCH_BYTES = 64U << 10;
+/// Retry-After of a job that finds no memory. Jobs of a crowd end within seconds.
+constexpr std::chrono::seconds MEMORY_RETRY_S{1};
 /// Limits for one job.
 constexpr std::uint32_t MAX_STEPS = 256;
 constexpr std::uint32_t MAX_TASKS_PER_JOB = 4000;
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -24,6 +24,7 @@
     , m_ownership(m_self, domain, timers, *this)
     , m_directory(domain, options)
     , m_losses(timers)
+    , m_taskMemory(makeTaskBudget(options.memory))
     , m_jobs(timers, m_directory, m_losses, *this, options)
     , m_cancellation(timers, m_jobs, *this)
     , m_exchange(timers)
@@ -614,7 +615,8 @@
     if (m_owned.empty())
         m_listChanged[id] = m_timers.now();
     auto group = std::make_unique<ExecutorGroup>(id, token, m_timers, m_port, m_losses,
-                                                 static_cast<GroupListener &>(*this), m_options);
+                                                 static_cast<GroupListener &>(*this), m_options,
+                                                 m_taskMemory);
     ExecutorGroup &added = *group;
     auto &slot = m_owned[id];
     if (slot) {
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -63,6 +63,8 @@
 
     JobCoordinator &jobs() { return m_jobs; }
     JobCancellation &cancellation() { return m_cancellation; }
+    /// Memory for the tasks at the owned groups, as estimated.
+    std::size_t taskBytes() const { return m_taskMemory->usedBytes(); }
     const ExecutorLosses &losses() const { return m_losses; }
     const std::map<GroupId, std::unique_ptr<ExecutorGroup>> &ownedGroups() const { return m_owned; }
     /// Whether at least one group with executors has an owner.
@@ -146,6 +148,7 @@
     GroupOwnership m_ownership;
     GroupDirectory m_directory;
     ExecutorLosses m_losses;
+    const std::shared_ptr<MemoryBudget> m_taskMemory; // of m_owned
     JobCoordinator m_jobs;
     JobCancellation m_cancellation;
     RegistrationExchange m_exchange;
--- a/src/libs/dispatch/dispatchoptions.h
+++ b/src/libs/dispatch/dispatchoptions.h
@@ -2,6 +2,8 @@
 // the default and the baseline with which the others are compared.
 #pragma once
 
+#include <cstddef>
+
 namespace Dispatch {
 
 /// When a start without an answer is looked for on its executor.
@@ -34,6 +36,16 @@
     Forecast,   ///< By the waits that the groups forecast, corrected by the observed error.
 };
 
+/// Budgets for what callers make a daemon hold. The defaults suit a host of 1 GB.
+struct MemoryLimits
+{
+    std::size_t maxJobBytes = 100U << 20;  // of all jobs that this daemon coordinates
+    std::size_t maxTaskBytes = 160U << 20; // of all tasks at the groups that it owns
+    std::size_t maxOpenRequests = 2000;    // of its callers at the same time
+
+    bool operator==(const MemoryLimits &) const = default;
+};
+
 struct DispatchOptions
 {
     OrderPolicy orders = OrderPolicy::FixedTimeout;
@@ -41,6 +53,7 @@
     QueueOrderPolicy queueOrder = QueueOrderPolicy::LatestStart;
     PlacementPolicy placement = PlacementPolicy::FastestFree;
     AdmissionPolicy admission = AdmissionPolicy::QueuedWork;
+    MemoryLimits memory{};
 
     bool operator==(const DispatchOptions &) const = default;
 };
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -21,6 +21,14 @@
 ExecutorGroup::ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers,
                              ExecutorPort &port, const ExecutorLosses &losses,
                              GroupListener &listener, const DispatchOptions &options)
+    : ExecutorGroup(std::move(group), token, timers, port, losses, listener, options,
+                    makeTaskBudget(options.memory))
+{}
+
+ExecutorGroup::ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers,
+                             ExecutorPort &port, const ExecutorLosses &losses,
+                             GroupListener &listener, const DispatchOptions &options,
+                             std::shared_ptr<MemoryBudget> memory)
     : m_group(std::move(group))
     , m_token(token)
     , m_timers(timers)
@@ -28,6 +36,7 @@
     , m_losses(losses)
     , m_listener(listener)
     , m_options(options)
+    , m_memory(std::move(memory))
     , m_orders(options.orders, timers, *this)
     , m_runTimes(makeRunTimes(options.runTimes))
     , m_claimed(timers.now())
@@ -144,8 +153,14 @@
         return;
     m_batchesSeen[from] = std::max(m_batchesSeen[from], message.sequence);
     auto batch = std::make_shared<BatchInfo>();
+    batch->memory = memoryFor(message);
+    if (!batch->memory) {
+        refuseBatch(from, message);
+        return;
+    }
     batch->message = message;
     batch->message.tasks.clear();
+    batch->message.tasks.shrink_to_fit();
     batch->shape = {message.cpuMillis, message.memoryMb, message.gpus};
     const Base::TimePoint now = m_timers.now();
     batch->estimate = std::chrono::milliseconds(std::max<std::uint64_t>(1, message.estimateMs));
@@ -160,6 +175,36 @@
         returnUnplaced(*batch, message.tasks);
 }
 
+/// Empty if there is none left for the batch. Tasks that may have been started and those that are
+/// here already can't be refused.
+MemoryBudget::Share ExecutorGroup::memoryFor(const Wire::TaskBatch &message)
+{
+    const std::size_t bytes = sizeof(BatchInfo) + message.payload.size()
+                              + message.requiredLabel.size() + message.rack.size()
+                              + message.tasks.size() * Constants::QUEUED_TASK_BYTES;
+    const bool isNew =
+        std::none_of(message.tasks.begin(), message.tasks.end(), [&](const Wire::BatchTask &it) {
+            return it.mayHaveStarted
+                   || m_tasks.contains(
+                       {JobId(message.job), message.occurrence, message.step, it.index});
+        });
+    return isNew ? m_memory->tryTake(bytes) : m_memory->take(bytes);
+}
+
+void ExecutorGroup::refuseBatch(const Base::DaemonId &from, const Wire::TaskBatch &message)
+{
+    m_counters.refusedForMemory += message.tasks.size();
+    Base::log(LogLevel::Warning, "taskMemoryExhausted",
+              {{"group", m_group},
+               {"job", message.job},
+               {"tasks", message.tasks.size()},
+               {"heldBytes", m_memory->usedBytes()}});
+    for (const Wire::BatchTask &it : message.tasks) {
+        report(from, {JobId(message.job), message.occurrence, message.step, it.index},
+               RunNumber(it.minRun), TaskReportState::Refused, {});
+    }
+}
+
 /// Coordinators place by load reports that are older than many tasks are long, so several may
 /// choose the same free executor. The tasks of all but the first would wait here while other groups
 /// have free resources.
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -9,6 +9,7 @@
 #include "executorlosses.h"
 #include "executorport.h"
 #include "executorstate.h"
+#include "memorybudget.h"
 #include "placement.h"
 #include "queueorder.h"
 #include "runlog.h"
@@ -60,6 +61,7 @@
     std::uint64_t stragglersByExecutor = 0; // part of stragglers
     std::uint64_t stragglersByLength = 0;   // part of stragglers
     std::uint64_t expired = 0; // tasks dropped since their job could not end in time any more
+    std::uint64_t refusedForMemory = 0; // tasks
 };
 
 /// Exists from the claim of a group to its loss. A run number is used only once for a task, and a
@@ -70,6 +72,10 @@
     ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers, ExecutorPort &port,
                   const ExecutorLosses &losses, GroupListener &listener,
                   const DispatchOptions &options = {});
+    /// \a memory is shared by all groups of a daemon.
+    ExecutorGroup(GroupId group, FencingToken token, Base::Timers &timers, ExecutorPort &port,
+                  const ExecutorLosses &losses, GroupListener &listener,
+                  const DispatchOptions &options, std::shared_ptr<MemoryBudget> memory);
     ~ExecutorGroup() override;
 
     const GroupId &id() const { return m_group; }
@@ -150,6 +156,8 @@
     bool mayRepeatOrders() const override;
     void removeUnregistered();
     void checkRegistration(ExecutorState &executor);
+    MemoryBudget::Share memoryFor(const Wire::TaskBatch &message);
+    void refuseBatch(const Base::DaemonId &from, const Wire::TaskBatch &message);
     void submitTask(const Base::DaemonId &from, const std::shared_ptr<const BatchInfo> &batch,
                     const Wire::BatchTask &entry);
     bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
@@ -224,6 +232,7 @@
     const ExecutorLosses &m_losses;
     GroupListener &m_listener;
     const DispatchOptions m_options;
+    const std::shared_ptr<MemoryBudget> m_memory;
     UnansweredOrders m_orders;
     const std::unique_ptr<RunTimes> m_runTimes;
     const Base::TimePoint m_claimed;
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -27,6 +27,7 @@
     , m_losses(losses)
     , m_sender(sender)
     , m_options(options)
+    , m_memory(makeJobBudget(options.memory))
 {}
 
 JobCoordinator::~JobCoordinator() = default;
@@ -51,6 +52,33 @@
     return std::chrono::duration_cast<Base::Duration>(duration * factor);
 }
 
+/// Estimate of what the job takes here until it ends. A request of some bytes can have thousands of
+/// tasks.
+std::size_t JobCoordinator::memoryOf(const JobRequest &request)
+{
+    std::size_t bytes =
+        sizeof(Job) + Constants::COORDINATED_JOB_BYTES + request.spec.payload.size();
+    for (const StepSpec &it : request.spec.steps) {
+        bytes += sizeof(StepSpec) + sizeof(std::vector<Task>) + sizeof(std::uint32_t);
+        bytes += it.after.size() * sizeof(std::uint32_t);
+        bytes += it.requiredLabel.size() + it.preferredRack.size();
+        bytes += it.count * (sizeof(Task) + Constants::COORDINATED_TASK_BYTES);
+    }
+    return bytes;
+}
+
+void JobCoordinator::reject(const JobRequest &request, const char *reason,
+                            Base::Duration retryAfter, const Callback &callback)
+{
+    ++m_counters.rejected;
+    Base::log(LogLevel::Info, "jobRejected",
+              {{"job", request.spec.id},
+               {"queue", request.policy.queue},
+               {"reason", reason},
+               {"retryAfter", retryAfter}});
+    callback({JobOutcome::Rejected, reason, retryAfter});
+}
+
 void JobCoordinator::submit(JobRequest request, Callback callback)
 {
     const JobId id = request.spec.id;
@@ -112,7 +140,19 @@
             return;
         }
     }
+    MemoryBudget::Share memory = m_memory->tryTake(memoryOf(request));
+    if (!memory) {
+        ++m_counters.rejectedNoMemory;
+        Base::log(LogLevel::Warning, "jobMemoryExhausted",
+                  {{"job", id},
+                   {"bytes", memoryOf(request)},
+                   {"heldBytes", m_memory->usedBytes()},
+                   {"jobs", m_jobs.size()}});
+        reject(request, "noMemory", Constants::MEMORY_RETRY_S, callback);
+        return;
+    }
     Job job;
+    job.memory = std::move(memory);
     job.expectedWait = expectedWait;
     job.callback = std::move(callback);
     job.accepted = now;
@@ -554,7 +594,7 @@
                    {"executor", report.executor},
                    {"refusals", task.refusals}});
         if (task.refusals >= job.request.policy.maxAttempts && !job.isWithdrawn)
-            withdraw(it, "orderRefused");
+            withdrawRefused(it, report);
         return;
     case TaskReportState::Expired:
         task.state = TaskState::Waiting;
@@ -606,6 +646,15 @@
     finish(it, {JobOutcome::TimedOut, "executorsLost", {}});
 }
 
+/// Owners report without an executor that they have no memory for a task.
+void JobCoordinator::withdrawRefused(JobMap::iterator it, const Wire::TaskReport &report)
+{
+    if (report.executor.empty())
+        withdraw(it, "noMemory", Constants::MEMORY_RETRY_S);
+    else
+        withdraw(it, "orderRefused");
+}
+
 void JobCoordinator::stopTasks(const JobId &id, const Job &job)
 {
     std::set<GroupId> groups;
@@ -687,7 +736,7 @@
 
 /// Takes a job back that cannot be completed in time, or not at all. Its caller is told so as soon
 /// as all groups have confirmed that they have none of its tasks.
-void JobCoordinator::withdraw(JobMap::iterator it, const char *reason)
+void JobCoordinator::withdraw(JobMap::iterator it, const char *reason, Base::Duration minRetryAfter)
 {
     Base::log(LogLevel::Info, "jobWithdrawn",
               {{"job", it->first},
@@ -696,6 +745,7 @@
                {"elapsed", m_timers.now() - it->second.accepted}});
     it->second.isWithdrawn = true;
     it->second.withdrawalReason = reason;
+    it->second.minRetryAfter = minRetryAfter;
     stopTasks(it->first, it->second);
     finishWithdrawn(it);
 }
@@ -721,7 +771,8 @@
         retryAfter = m_admission.retryAfter(
             profile, m_directory.estimateWait(waitRequestFor(profile)).value_or(WaitEstimate()));
     }
-    finish(it, {JobOutcome::Rejected, job.withdrawalReason, retryAfter});
+    finish(it,
+           {JobOutcome::Rejected, job.withdrawalReason, std::max(retryAfter, job.minRetryAfter)});
 }
 
 void JobCoordinator::claimTasks(const GroupId &group)
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -3,6 +3,7 @@
 
 #include "executorlosses.h"
 #include "groupdirectory.h"
+#include "memorybudget.h"
 
 #include <functional>
 #include <map>
@@ -61,6 +62,7 @@
     std::uint64_t rejectedNoChance = 0;
     std::uint64_t rejectedInProportion = 0;
     std::uint64_t withdrawnNoChance = 0; // ended as rejected or timed out
+    std::uint64_t rejectedNoMemory = 0;  // part of rejected
 };
 
 /// Tracks each job from its acceptance to its result. A task is assigned to one group at a time,
@@ -98,6 +100,8 @@
     void abortAll();
 
     std::size_t jobCount() const { return m_jobs.size(); }
+    /// Memory for the jobs in progress, as estimated.
+    std::size_t jobBytes() const { return m_memory->usedBytes(); }
     const JobCounters &counters() const { return m_counters; }
     /// Means over groups and priorities of the learned errors of the forecast waits, and of their
     /// absolute values; positive if tasks wait longer than forecast.
@@ -150,8 +154,10 @@
         bool mayHaveStarted = false; // some task, at some group
         bool isWithdrawn = false;    // its tasks are being taken back from the groups
         std::string withdrawalReason;
-        Base::Duration expectedWait{0}; // on its arrival; with AdmissionPolicy::Forecast only
-        Base::TimePoint lastDecision;   // on whether it is of use; likewise
+        Base::Duration minRetryAfter{0}; // if it is rejected by its withdrawal
+        Base::Duration expectedWait{0};  // on its arrival; with AdmissionPolicy::Forecast only
+        Base::TimePoint lastDecision;    // on whether it is of use; likewise
+        MemoryBudget::Share memory;
         std::vector<std::vector<Task>> steps;
         std::vector<std::uint32_t> remaining; // by step: number of tasks that are not done
     };
@@ -159,6 +165,9 @@
     using JobMap = std::map<JobId, Job>;
 
     bool isForecasting() const { return m_options.admission == AdmissionPolicy::Forecast; }
+    static std::size_t memoryOf(const JobRequest &request);
+    void reject(const JobRequest &request, const char *reason, Base::Duration retryAfter,
+                const Callback &callback);
     static JobProfile profileOf(const JobRequest &request, Base::Duration usefulTime);
     PlacementRequest waitRequestFor(const JobProfile &profile) const;
     std::optional<JobResult> rejectionByForecast(const JobProfile &profile,
@@ -178,9 +187,11 @@
                         const Wire::TaskReport &report);
     void taskLost(JobMap::iterator it, const Wire::TaskReport &report);
     void giveUp(JobMap::iterator it, const TaskId &task);
+    void withdrawRefused(JobMap::iterator it, const Wire::TaskReport &report);
     void sendClaims(const JobId &id, Job &job);
     bool areClaimsSent(const GroupId &group) const;
-    void withdraw(JobMap::iterator it, const char *reason);
+    void withdraw(JobMap::iterator it, const char *reason,
+                  Base::Duration minRetryAfter = Base::Duration(0));
     void finishWithdrawn(JobMap::iterator it);
     void stopTasks(const JobId &id, const Job &job);
     void finish(JobMap::iterator it, JobResult result);
@@ -192,6 +203,7 @@
     GroupSender &m_sender;
     const DispatchOptions m_options;
     JobAdmission m_admission;
+    const std::shared_ptr<MemoryBudget> m_memory; // for m_jobs
     JobMap m_jobs;
     std::map<GroupId, std::uint64_t> m_sequences; // last batch sent to each group
     // Groups whose owner may have tasks that are not needed any more, or lack a claim.
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -66,6 +66,12 @@
     add("endivepath_jobs_withdrawn_no_chance",
         "Jobs ended early of which nothing had started, since their forecast became worse.",
         [this] { return m_node->jobs().counters().withdrawnNoChance; });
+    add("endivepath_jobs_rejected_no_memory", "Jobs rejected for lack of memory for jobs.",
+        [this] { return m_node->jobs().counters().rejectedNoMemory; });
+    add("endivepath_job_bytes", "Memory for the jobs in progress, as estimated.",
+        [this] { return m_node->jobs().jobBytes(); });
+    add("endivepath_task_bytes", "Memory for the tasks at the owned groups, as estimated.",
+        [this] { return m_node->taskBytes(); });
     add("endivepath_forecast_error_ms",
         "Mean learned error of the forecast waits; positive if tasks waited longer.",
         [this] { return Base::toMilliseconds(m_node->jobs().forecastError()); });
@@ -105,6 +111,9 @@
     add("endivepath_group_tasks_expired",
         "Queued tasks dropped since their job could not end before its caller stops waiting.",
         sum([](const auto &group) { return group.counters().expired; }));
+    add("endivepath_group_tasks_refused_for_memory",
+        "Tasks refused to their coordinators for lack of memory for tasks.",
+        sum([](const auto &group) { return group.counters().refusedForMemory; }));
     add("endivepath_group_tasks_missed",
         "Queued tasks that could not meet their objective any more (queue order by job).",
         sum([](const auto &group) { return group.queueOrderCounters().missed; }));
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -1,4 +1,5 @@
 // Decoding of the platform's formats, also with malformed input from other writers.
+#include <dispatch/dispatchconstants.h>
 #include <platform/drainnotices.h>
 #include <platform/executorcodec.h>
 #include <platform/jobcodec.h>
@@ -527,13 +528,38 @@
     BOOST_TEST(faults.faults()[1].message == "65536 must be at least maxConnectionBytes, 16777216");
 }
 
+// Guards against budgets that leave no room for the largest job, or for each other.
+BOOST_AUTO_TEST_CASE(memoryOfJobsFollowsTheHost)
+{
+    json document = json::parse(VALID_SETTINGS);
+    Settings::FaultList faults;
+    document["memoryMb"] = 120;
+    document["maxFds"] = 3075;
+    const auto parsed = parsePlatformSettings(document.dump(), faults);
+    BOOST_REQUIRE(parsed.has_value());
+    const Dispatch::MemoryLimits &memory = parsed->dispatch.memory;
+    const Settings::LimitSettings &limits = parsed->daemon.limits;
+    const std::size_t tasks = Dispatch::Constants::MAX_TASKS_PER_JOB;
+    BOOST_TEST(memory.maxJobBytes / 2 > tasks * 300);
+    BOOST_TEST(memory.maxTaskBytes / 2 > tasks * Dispatch::Constants::QUEUED_TASK_BYTES);
+    BOOST_TEST(memory.maxOpenRequests == 2U * limits.maxCallerConnections);
+    const std::size_t sum = memory.maxJobBytes + memory.maxTaskBytes
+                            + limits.traffic.maxRequestBytes + limits.traffic.maxAnswerBytes;
+    BOOST_TEST(sum < std::size_t(90) << 20);
+    document["dispatch"] = {{"maxJobBytes", 1'000'000}, {"maxTaskBytes", 1}};
+    BOOST_TEST(!parsePlatformSettings(document.dump(), faults).has_value());
+    BOOST_REQUIRE(faults.faults().size() == 1U);
+    BOOST_TEST(faults.faults()[0].path == "/dispatch/maxTaskBytes");
+}
+
 // A policy that is not known is a fault that names the path, the value and those that are known.
 BOOST_AUTO_TEST_CASE(policiesOfTheDispatcher)
 {
     json document = json::parse(VALID_SETTINGS);
     Settings::FaultList faults;
-    BOOST_TEST(
-        (parsePlatformSettings(document.dump(), faults)->dispatch == Dispatch::DispatchOptions()));
+    Dispatch::DispatchOptions options = parsePlatformSettings(document.dump(), faults)->dispatch;
+    options.memory = {}; // follows the host
+    BOOST_TEST((options == Dispatch::DispatchOptions()));
     document["dispatch"] = {{"orders", "measuredTimeout"},
                             {"runTimes", "learned"},
                             {"queueOrder", "byJob"},
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -86,6 +86,21 @@
            + "}]}";
 }
 
+std::string jobOfManyTasks()
+{
+    return std::string(R"({"spec":")") + ENDLESS_SPEC + R"(","bestEffort":true,"phases":[{"count":)"
+           + std::to_string(MAX_TASKS) + R"(,"cpu":12000,"estimateMs":1}]})";
+}
+
+std::string jobOfManySteps()
+{
+    std::string job = std::string(R"({"spec":")") + ENDLESS_SPEC + std::string(3'900, ' ')
+                      + R"(","bestEffort":true,"phases":[)";
+    for (int i = 0; i < 256; ++i)
+        job += std::string(i > 0 ? "," : "") + R"({"count":1,"cpu":12000,"estimateMs":1})";
+    return job + "]}";
+}
+
 /// \a json, padded with \a c before its last \a tail bytes.
 std::string padded(std::string json, std::size_t tail, char c)
 {
@@ -129,6 +144,20 @@
     check("callers of one job");
 }
 
+// Guards against the same by short requests for many tasks.
+BOOST_FIXTURE_TEST_CASE(manyTasks, Fixture)
+{
+    crowdOfJobs(jobOfManyTasks(), CROWD_OF_LARGE_JOBS);
+    checkAnswered("many tasks");
+}
+
+// Guards against the same by many steps, each of which has the whole text of the job.
+BOOST_FIXTURE_TEST_CASE(manySteps, Fixture)
+{
+    crowdOfJobs(jobOfManySteps(), CROWD_OF_LARGE_JOBS);
+    checkAnswered("many steps");
+}
+
 // Guards against a load balancer that gets no answer while callers and others send too much.
 BOOST_FIXTURE_TEST_CASE(readinessBesideCrowds, Fixture)
 {
@@ -171,6 +200,17 @@
     BOOST_TEST(daemons[0]->process().exitCode() == 0);
 }
 
+// Guards against a crowd at one daemon that costs the others of its failure domain memory, and
+// against a takeover of its groups that does.
+BOOST_FIXTURE_TEST_CASE(crowdAtOneOfThreeDaemons, DomainFixture)
+{
+    crowdOfJobs(padded(endlessJob(R"(,"affinity":"")"), 4, 'x'), CROWD / 2);
+    check("crowd at one of three daemons");
+    crowdOfJobs(jobOfManyTasks(), CROWD_OF_LARGE_JOBS);
+    checkAnswered("crowd at one of three daemons, with many tasks");
+    loseDaemons([this] { checkAnswered("after the loss of a daemon"); });
+}
+
 // Guards against limits that refuse a caller within those that the desired state states.
 BOOST_FIXTURE_TEST_CASE(largestJobsAreServed, Fixture)
 {
