Dispatch: jobs that no known executor can run are rejected at once

Callers saw: after 900 jobs with a label that no executor has, or with tasks larger than any executor, no ordinary job was completed within 20 s although the executor was idle. Their own callers got an answer only when the job was of no use any more.

Cause: a job was accepted if any executor of its service was known. Its tasks waited at the group with the shortest queue, whether or not it had an executor for them, and counted there as work ahead of others.

Evidence: unknownLabels, tasksLargerThanExecutors and jobsWithoutExecutorAreRefused failed on (no ordinary job completed in 20 s; no answer within 5 s).

Each daemon knows all registered executors. A job with a step for whose label and size there is none is rejected when it arrives, with 503 and Retry-After 5; tasks wait only at groups that have an executor for them; when the executors change, waiting jobs are checked again, and owners return queued tasks that none of theirs can run, once a tick at most. While no executor of the service is registered at all nothing changes: all may be restarting. All three pass now; unit tests of both sides are in tst_dispatch.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -248,6 +248,9 @@
 constexpr std::size_t SMALL_BATCH_BYTES = 64U << 10;
 /// Retry-After of a job that finds no memory. Jobs of a crowd end within seconds.
 constexpr std::chrono::seconds MEMORY_RETRY_S{1};
+/// The same of a job that no known executor can run: a registration takes 1.5 s, a replacement of
+/// executors some seconds.
+constexpr std::chrono::seconds NO_EXECUTOR_RETRY_S{5};
 /// Limits for one job.
 constexpr std::uint32_t MAX_STEPS = 256;
 constexpr std::uint32_t MAX_TASKS_PER_JOB = 4000;
--- a/src/libs/dispatch/dispatchnode.cpp
+++ b/src/libs/dispatch/dispatchnode.cpp
@@ -178,6 +178,7 @@
     m_executors = std::move(lists);
     m_ownership.setGroups(groups);
     m_directory.setGroups(groups);
+    m_directory.setExecutors(m_executors);
     for (auto &[id, group] : m_owned)
         updateGroup(id, *group);
 }
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -108,6 +108,7 @@
             hold(*known, true);
     }
     m_hasExecutors = true;
+    m_mayBeUnservable = true;
     removeUnregistered();
     ++m_loadVersion;
     placeQueued();
@@ -169,6 +170,7 @@
     batch->deadline = now + std::chrono::milliseconds(message.deadlineMs);
     for (const Wire::BatchTask &it : message.tasks)
         submitTask(from, batch, it);
+    m_mayBeUnservable |= !isServable(*batch);
     loadChanged();
     placeQueued();
     if (message.returnsUnplaced)
@@ -220,6 +222,44 @@
     }
 }
 
+/// Whether a registered executor could run the tasks if nothing else ran there.
+bool ExecutorGroup::isServable(const BatchInfo &batch) const
+{
+    return std::any_of(m_executors.begin(), m_executors.end(), [&batch](const auto &it) {
+        const ExecutorState &executor = it.second;
+        if (!executor.isRegistered || executor.info().service.value() != batch.message.service)
+            return false;
+        return !executor.isInfoCurrent()
+               || (isOfferedBy(executor, batch) && batch.shape.fits(executor.info().capacity));
+    });
+}
+
+/// Returns the queued tasks that no executor of the group can run: they would count as work ahead
+/// of others, while another group may have an executor for them. Called once a tick at most, so
+/// that a coordinator with another list of executors does not send them again with each message.
+void ExecutorGroup::returnUnservable()
+{
+    if (!m_hasExecutors || !std::exchange(m_mayBeUnservable, false) || m_queue.isEmpty())
+        return;
+    std::map<const BatchInfo *, bool> servable;
+    std::vector<std::pair<TaskId, RunNumber>> unservable;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.state != TaskState::Queued)
+            continue;
+        const auto [it, isNew] = servable.emplace(task.batch.get(), true);
+        if (isNew)
+            it->second = isServable(*task.batch);
+        if (!it->second)
+            unservable.emplace_back(id, RunNumber(task.nextRun - 1));
+    }
+    if (unservable.empty())
+        return;
+    Base::log(LogLevel::Info, "tasksWithoutExecutor",
+              {{"group", m_group}, {"tasks", unservable.size()}});
+    for (const auto &[id, run] : unservable)
+        finishTask(id, run, TaskReportState::Returned, {});
+}
+
 void ExecutorGroup::submitTask(const Base::DaemonId &from,
                                const std::shared_ptr<const BatchInfo> &batch,
                                const Wire::BatchTask &entry)
@@ -1448,6 +1488,7 @@
         }
     }
     checkClaims();
+    returnUnservable();
     const bool hasRuns = m_contestedUntil > now && runCount() > 0;
     for (auto &[id, executor] : m_executors) {
         checkRuns(executor);
--- a/src/libs/dispatch/executorgroup.h
+++ b/src/libs/dispatch/executorgroup.h
@@ -158,6 +158,8 @@
     void checkRegistration(ExecutorState &executor);
     MemoryBudget::Share memoryFor(const Wire::TaskBatch &message);
     void refuseBatch(const Base::DaemonId &from, const Wire::TaskBatch &message);
+    bool isServable(const BatchInfo &batch) const;
+    void returnUnservable();
     void submitTask(const Base::DaemonId &from, const std::shared_ptr<const BatchInfo> &batch,
                     const Wire::BatchTask &entry);
     bool reportKnownEnd(const Base::DaemonId &from, const TaskId &id, const Wire::BatchTask &entry);
@@ -267,7 +269,8 @@
     Base::TimePoint m_contestedUntil;
     Base::TimePoint m_resumed; // end of the last pause of this process
     bool m_isFlushScheduled = false;
-    bool m_hasExecutors = false; // setExecutors() has been called
+    bool m_mayBeUnservable = false; // some queued task, since the executors or the queue changed
+    bool m_hasExecutors = false;    // setExecutors() has been called
     GroupCounters m_counters;
 };
 
--- a/src/libs/dispatch/groupdirectory.cpp
+++ b/src/libs/dispatch/groupdirectory.cpp
@@ -69,6 +69,55 @@
         m_groups[id].domain = domain;
 }
 
+void GroupDirectory::setExecutors(const std::map<GroupId, std::vector<ExecutorInfo>> &executors)
+{
+    ++m_executorsVersion;
+    for (const auto &[id, list] : executors) {
+        const auto group = m_groups.find(id);
+        if (group == m_groups.end())
+            continue;
+        std::vector<ExecutorClass> &classes = group->second.classes.emplace();
+        for (const ExecutorInfo &it : list) {
+            ExecutorClass entry{it.service, it.kind, it.capacity};
+            if (std::find(classes.begin(), classes.end(), entry) == classes.end())
+                classes.push_back(std::move(entry));
+        }
+    }
+}
+
+/// Whether some executor of the group could run a task of \a request if nothing else ran there.
+bool GroupDirectory::isCapable(const Group &group, const PlacementRequest &request)
+{
+    if (!group.classes)
+        return true;
+    bool hasClass = false; // of the service
+    for (const ExecutorClass &it : *group.classes) {
+        if (it.service != request.service)
+            continue;
+        hasClass = true;
+        if ((request.requiredLabel.empty() || it.kind == request.requiredLabel)
+            && request.shape.fits(it.capacity)) {
+            return true;
+        }
+    }
+    // An owner may have read registrations that this daemon has not read yet.
+    return !hasClass
+           && std::any_of(group.executors.begin(), group.executors.end(),
+                          [&](const auto &it) { return isEligible(it, request); });
+}
+
+bool GroupDirectory::hasCapableExecutor(const PlacementRequest &request) const
+{
+    bool hasClass = false; // of the service
+    for (const auto &[id, group] : m_groups) {
+        if (isCapable(group, request))
+            return true;
+        hasClass |= std::any_of(group.classes->begin(), group.classes->end(),
+                                [&](const auto &it) { return it.service == request.service; });
+    }
+    return !hasClass;
+}
+
 /// Reserves resources for \a request as the owner would: on the fastest free executors.
 void GroupDirectory::apply(Group &group, const PlacementRequest &request)
 {
@@ -262,8 +311,10 @@
 {
     std::vector<QueueChoice::Option> options;
     for (const auto &[id, group] : m_groups) {
-        if (!group.hasLoad || !hasService(group.load.executors, request.service))
+        if (!group.hasLoad || !hasService(group.load.executors, request.service)
+            || !isCapable(group, request)) {
             continue;
+        }
         options.push_back({id, group.domain != m_domain, forecastIn(group, request),
                            m_errors.at({id, request.priority, true}, request.time).offset,
                            capacityOf(group.load.executors, request.service)});
@@ -278,8 +329,10 @@
     std::optional<double> shortest;
     std::optional<GroupId> best;
     for (const auto &[id, group] : m_groups) {
-        if (!group.hasLoad || !hasService(group.load.executors, request.service))
+        if (!group.hasLoad || !hasService(group.load.executors, request.service)
+            || !isCapable(group, request)) {
             continue;
+        }
         const auto extra = added.find(id);
         const double wait =
             std::chrono::duration<double>(waitIn(group, request.service, request.priority,
--- a/src/libs/dispatch/groupdirectory.h
+++ b/src/libs/dispatch/groupdirectory.h
@@ -47,13 +47,22 @@
     explicit GroupDirectory(Base::FailureDomainId domain, const DispatchOptions &options = {});
 
     void setGroups(const std::map<GroupId, Base::FailureDomainId> &groups);
+    /// Sets the registered executors of all groups.
+    void setExecutors(const std::map<GroupId, std::vector<ExecutorInfo>> &executors);
+    /// Changes with each call of setExecutors().
+    std::uint64_t executorsVersion() const { return m_executorsVersion; }
+    /// Whether a known executor could run a task of \a request if nothing else ran there. True as
+    /// long as the executors of some group are not known, and if there is none of the service: they
+    /// may all be restarting.
+    bool hasCapableExecutor(const PlacementRequest &request) const;
     void loadReceived(const Wire::GroupLoad &load);
     /// Discards the load of a group whose owner is lost or has changed, as it is no longer known.
     void forgetLoad(const GroupId &group);
 
     /// Distributes the tasks over the groups: the fastest free executors first, those of the own
     /// failure domain before equally fast ones elsewhere. Tasks that cannot start at once go to the
-    /// group with the shortest wait. Empty if no group is known to have an executor of the service.
+    /// group with the shortest wait among those that have an executor for them. Empty if no group
+    /// is known to have one.
     std::vector<PlacementShare> place(const PlacementRequest &request) const;
     /// Accounts for a batch that was sent, until a load report includes it.
     void batchSent(const GroupId &group, std::uint64_t sequence, const PlacementRequest &request);
@@ -78,9 +87,20 @@
         PlacementRequest request;
     };
 
+    /// Executors that can run the same tasks.
+    struct ExecutorClass
+    {
+        ServiceId service;
+        std::string kind;
+        Resources capacity;
+
+        bool operator==(const ExecutorClass &) const = default;
+    };
+
     struct Group
     {
         Base::FailureDomainId domain;
+        std::optional<std::vector<ExecutorClass>> classes; // of the registered executors; none yet
         bool hasLoad = false;
         Wire::GroupLoad load;                      // as reported
         std::vector<Wire::ExecutorLoad> executors; // load.executors minus pending
@@ -88,6 +108,7 @@
         std::vector<Pending> pending; // sent but not yet in load, in the order of sending
     };
 
+    static bool isCapable(const Group &group, const PlacementRequest &request);
     static void apply(Group &group, const PlacementRequest &request);
     static void rebuild(Group &group);
     /// Expected wait in \a group. \a added is additional work, in thousandths of a core times
@@ -106,6 +127,7 @@
     const DispatchOptions m_options;
     std::map<GroupId, Group> m_groups;
     ForecastErrors m_errors;
+    std::uint64_t m_executorsVersion = 0;
 };
 
 } // namespace Dispatch
--- a/src/libs/dispatch/jobcoordinator.cpp
+++ b/src/libs/dispatch/jobcoordinator.cpp
@@ -113,6 +113,11 @@
         callback({JobOutcome::TimedOut, "executorsLost", {}});
         return;
     }
+    if (wait && !isServable(request)) {
+        ++m_counters.rejectedNoExecutor;
+        reject(request, "noSuitableExecutor", Constants::NO_EXECUTOR_RETRY_S, callback);
+        return;
+    }
     // Estimates can be off by half or more, so a job is not rejected for its estimate alone while
     // there is no queue.
     const bool isQueueTooLong = !isForecasting() && wait && wait->count() > 0
@@ -182,6 +187,38 @@
     placeWaiting(id, it->second);
 }
 
+/// Whether there is a known executor for each step.
+bool JobCoordinator::isServable(const JobRequest &request) const
+{
+    PlacementRequest placement;
+    placement.service = request.policy.service;
+    return std::all_of(request.spec.steps.begin(), request.spec.steps.end(),
+                       [&](const StepSpec &it) {
+                           placement.shape = it.shape;
+                           placement.requiredLabel = it.requiredLabel;
+                           return m_directory.hasCapableExecutor(placement);
+                       });
+}
+
+/// After a change of the executors, takes back the jobs that none of them can run any more.
+void JobCoordinator::withdrawUnservable()
+{
+    if (std::exchange(m_checkedExecutors, m_directory.executorsVersion())
+        == m_directory.executorsVersion()) {
+        return;
+    }
+    std::vector<JobId> unservable;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.mayHaveStarted && !job.isWithdrawn && !isServable(job.request))
+            unservable.push_back(id);
+    }
+    for (const JobId &it : unservable) {
+        const auto job = m_jobs.find(it);
+        EP_ASSERT(job != m_jobs.end(), continue);
+        withdraw(job, "noSuitableExecutor", Constants::NO_EXECUTOR_RETRY_S);
+    }
+}
+
 /// The widest step stands for all: its tasks start at the same time, and the last of them decides.
 JobProfile JobCoordinator::profileOf(const JobRequest &request, Base::Duration usefulTime)
 {
@@ -845,6 +882,7 @@
     std::vector<JobId> expired;
     std::vector<JobId> useless;
     updatePressure();
+    withdrawUnservable();
     for (auto &[id, job] : m_jobs) {
         if (now >= job.deadline) {
             expired.push_back(id);
--- a/src/libs/dispatch/jobcoordinator.h
+++ b/src/libs/dispatch/jobcoordinator.h
@@ -62,7 +62,9 @@
     std::uint64_t rejectedNoChance = 0;
     std::uint64_t rejectedInProportion = 0;
     std::uint64_t withdrawnNoChance = 0; // ended as rejected or timed out
-    std::uint64_t rejectedNoMemory = 0;  // part of rejected
+    // Parts of rejected.
+    std::uint64_t rejectedNoMemory = 0;
+    std::uint64_t rejectedNoExecutor = 0; // none known that can run it
 };
 
 /// Tracks each job from its acceptance to its result. A task is assigned to one group at a time,
@@ -168,6 +170,8 @@
     static std::size_t memoryOf(const JobRequest &request);
     void reject(const JobRequest &request, const char *reason, Base::Duration retryAfter,
                 const Callback &callback);
+    bool isServable(const JobRequest &request) const;
+    void withdrawUnservable();
     static JobProfile profileOf(const JobRequest &request, Base::Duration usefulTime);
     PlacementRequest waitRequestFor(const JobProfile &profile) const;
     std::optional<JobResult> rejectionByForecast(const JobProfile &profile,
@@ -209,6 +213,7 @@
     // Groups whose owner may have tasks that are not needed any more, or lack a claim.
     std::set<GroupId> m_unreconciled;
     std::optional<Base::TimePoint> m_shutdownDeadline;
+    std::uint64_t m_checkedExecutors = 0; // version of the list for which m_jobs are servable
     JobCounters m_counters;
 };
 
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -68,6 +68,9 @@
         [this] { return m_node->jobs().counters().withdrawnNoChance; });
     add("endivepath_jobs_rejected_no_memory", "Jobs rejected for lack of memory for jobs.",
         [this] { return m_node->jobs().counters().rejectedNoMemory; });
+    add("endivepath_jobs_rejected_no_executor",
+        "Jobs rejected because no known executor can run them.",
+        [this] { return m_node->jobs().counters().rejectedNoExecutor; });
     add("endivepath_job_bytes", "Memory for the jobs in progress, as estimated.",
         [this] { return m_node->jobs().jobBytes(); });
     add("endivepath_task_bytes", "Memory for the tasks at the owned groups, as estimated.",
--- a/tests/auto/dispatch/tst_dispatchmemory.cpp
+++ b/tests/auto/dispatch/tst_dispatchmemory.cpp
@@ -1,4 +1,4 @@
-// Budgets for what the jobs of callers take.
+// Budgets for what the jobs of callers take, and jobs that no executor can run.
 #undef BOOST_TEST_MODULE
 #include "dispatchcluster.h"
 
@@ -101,4 +101,42 @@
     BOOST_TEST(count(JobOutcome::Completed) == completed + 1);
 }
 
+// Guards against jobs that no executor can run: they waited until they were of no use any more, and
+// counted as work ahead of others meanwhile.
+BOOST_FIXTURE_TEST_CASE(jobsWithoutExecutorAreRejectedAtOnce, Fixture)
+{
+    start();
+    for (int i = 0; i < 100; ++i)
+        submit("a0", "large" + std::to_string(i), 1, {17000, 64, 0}, 20s, 600s);
+    BOOST_TEST(rejections() == 100U);
+    BOOST_TEST(node("a0").jobs().counters().rejectedNoExecutor == 100U);
+    submit("a0", "memory", 1, {1000, 65537, 0});
+    submit("a0", "gpu", 1, {1000, 64, 1});
+    BOOST_TEST(rejections() == 102U);
+    submit("a0", "ordinary", 8);
+    run(1s);
+    BOOST_TEST(count(JobOutcome::Completed) == 1U);
+}
+
+// Guards against the same when the only executor for a job leaves while it waits.
+BOOST_FIXTURE_TEST_CASE(jobIsRejectedWhenItsExecutorLeaves, Fixture)
+{
+    addExecutors("b", 1, 32000);
+    start();
+    addDaemon("b0", "b");
+    startDaemon("b0");
+    run(3s);
+    submit("a0", "first", 1, {32000, 64, 0}, 900ms, 600s);
+    submit("a0", "second", 1, {32000, 64, 0}, 900ms, 600s);
+    run(30ms); // a run takes 60 ms
+    BOOST_TEST(rejections() == 0U);
+    std::vector<ExecutorInfo> infos = executors.infos();
+    std::erase_if(infos, [](const auto &it) { return it.capacity.cpuMillis == 32000; });
+    for (const auto &[name, daemon] : daemons)
+        daemon->node.setExecutors(infos);
+    run(200ms);
+    BOOST_TEST(rejections() == 1U);
+    BOOST_TEST(executors.violation == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/dispatch/tst_dispatchorders.cpp
+++ b/tests/auto/dispatch/tst_dispatchorders.cpp
@@ -165,6 +165,32 @@
     BOOST_TEST(listener.lossCount == 0);
 }
 
+// Guards against a queue of tasks that no executor of the group can run: it counted as work ahead
+// of others. Also when their executor gets a smaller one as its successor.
+BOOST_AUTO_TEST_CASE(tasksWithoutExecutorAreReturned)
+{
+    submit("c", "label", "none");
+    submit("c", "run");
+    submit("c", "waiting1");
+    submit("c", "waiting2");
+    submit("c", "waiting3");
+    submit("c", "waiting4");
+    BOOST_TEST(port.starts.size() == 4U);
+    clock.advance(60ms);
+    group->tick();
+    clock.advance(1ms);
+    BOOST_TEST(listener.has("c", "label", Wire::TaskReportState::Returned));
+    BOOST_TEST(group->queuedCount() == 1U);
+    info.capacity.cpuMillis = 3000;
+    group->setExecutors({info}, clock.now());
+    clock.advance(60ms);
+    group->tick();
+    clock.advance(1ms);
+    BOOST_TEST(listener.has("c", "waiting4", Wire::TaskReportState::Returned));
+    BOOST_TEST(!listener.has("c", "run", Wire::TaskReportState::Returned));
+    BOOST_TEST(group->load().queues.empty());
+}
+
 // The end of a run that had been dropped with its coordinator was not reported to the next one,
 // whose job then waited for its deadline.
 BOOST_AUTO_TEST_CASE(failedEndOfADroppedTaskIsNotReported)
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -158,6 +158,26 @@
     checkAnswered("many steps");
 }
 
+// Guards against jobs that no executor can run and that count as work ahead of others.
+BOOST_FIXTURE_TEST_CASE(unknownLabels, Fixture)
+{
+    crowdOfJobs(R"({"spec":"text","bestEffort":true,"phases":[)"
+                R"({"count":1,"cpu":500,"estimateMs":20000,"requirements":"none"}]})",
+                CROWD);
+    check("unknown labels");
+}
+
+// Guards against the same by tasks that are larger than any executor.
+BOOST_FIXTURE_TEST_CASE(tasksLargerThanExecutors, Fixture)
+{
+    for (const char *shape : {R"("cpu":64000)", R"("cpu":500,"memMb":64000)", R"("gpu":1)"}) {
+        crowdOfJobs(std::string(R"({"spec":"text","bestEffort":true,"phases":[{"count":1,)") + shape
+                        + R"(,"estimateMs":20000}]})",
+                    CROWD / 3);
+    }
+    check("tasks larger than executors");
+}
+
 // Guards against a load balancer that gets no answer while callers and others send too much.
 BOOST_FIXTURE_TEST_CASE(readinessBesideCrowds, Fixture)
 {
@@ -229,3 +249,16 @@
     BOOST_TEST(response.body.find("completed") != std::string::npos, response.body);
     check("largest jobs");
 }
+
+// Guards against a job that can't be served and is answered only at its deadline.
+BOOST_FIXTURE_TEST_CASE(jobsWithoutExecutorAreRefused, Fixture)
+{
+    for (const char *step : {R"("requirements":"none")", R"("cpu":64000)", R"("gpu":1)"}) {
+        const auto response = sendJob(
+            std::string(R"({"spec":"text","bestEffort":true,"phases":[{"count":1,"estimateMs":20,)")
+                + step + "}]}",
+            {}, 0, "slow");
+        BOOST_TEST(response.httpStatus == 503, step);
+    }
+    check("jobs without an executor");
+}
