Http, PeerLink: receive buffers of connections are bounded

Callers saw: on hosts that freeze for a while the daemon exceeded its memory, in which unread bytes count, since the kernel goes on receiving for it.

Cause: no receive buffer was set, so each of 960 connections could hold the system's default of 128 KiB and more. Connections to the peers' port are those of strangers until their handshake is complete.

`limits.receiveBufferBytes` is set on the listeners, whose connections inherit it; the default divides a twelfth of the memory by the number of connections (10,922 bytes on the smallest host). The peers' port takes 4 KiB before the handshake and 64 KiB after it.

--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -237,6 +237,20 @@
     return restinio::request_accepted();
 }
 
+/// Connections inherit the receive buffer of their listener. Set before it listens, since the
+/// window that a connection announces first depends on it.
+static void setAcceptorOptions(restinio::acceptor_options_t &acceptor, const TrafficLimits &limits)
+{
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    if (limits.receiveBufferBytes == 0)
+        return;
+    asio::error_code ec;
+    acceptor.set_option(
+        asio::socket_base::receive_buffer_size(static_cast<int>(limits.receiveBufferBytes)), ec);
+    if (ec)
+        Base::log(Base::LogLevel::Error, "receiveBufferNotSet", {{"reason", ec.message()}});
+}
+
 absl::Status Server::open()
 {
     const ServerOptions &options = m_d->options;
@@ -244,7 +258,7 @@
         options.ledger ? options.ledger : std::make_shared<ConnectionLedger>(TrafficLimits());
     const auto table = std::make_shared<ConnectionTable>(m_d->io, ledger, options.maxConnections,
                                                          options.connectionClosed);
-    const TrafficLimits &times = ledger->limits();
+    const TrafficLimits times = ledger->limits();
     // RESTinio refuses values of the maximum size.
     const auto limits = restinio::incoming_http_msg_limits_t()
                             .max_url_size(options.maxHeaderBytes)
@@ -266,6 +280,9 @@
             .max_pipelined_requests(options.connectionClosed ? Constants::MAX_PIPELINED_REQUESTS
                                                              : 1)
             .logger(table)
+            .acceptor_options_setter([times](restinio::acceptor_options_t &acceptor) {
+                setAcceptorOptions(acceptor, times);
+            })
             .request_handler([handler = m_d->handler, options, table](const auto &handle) {
                 return handleRequest(*table, options, *handler, handle);
             });
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -32,6 +32,9 @@
     limits.traffic.maxAnswerBytes = memory / Constants::ANSWER_MEMORY_DIVISOR;
     limits.maxCallerConnections = static_cast<std::uint32_t>(
         std::min(memoryMb * Constants::CONNECTIONS_PER_MB, maxFds / Constants::FDS_DIVISOR));
+    limits.traffic.receiveBufferBytes =
+        std::max(memory / Constants::RECEIVE_MEMORY_DIVISOR / limits.maxCallerConnections,
+                 Constants::MIN_RECEIVE_BUFFER_BYTES);
     return limits;
 }
 
@@ -51,6 +54,9 @@
     readBytes("maxRequestBytes", traffic.maxRequestBytes);
     readBytes("maxConnectionBytes", traffic.maxConnectionBytes);
     readBytes("maxAnswerBytes", traffic.maxAnswerBytes);
+    reader.readUnsigned("receiveBufferBytes", traffic.receiveBufferBytes,
+                        Constants::MIN_RECEIVE_BUFFER_BYTES, Constants::MAX_RECEIVE_BUFFER_BYTES,
+                        Presence::Optional);
     const auto readTimeout = [&reader](std::string_view name, std::chrono::milliseconds &timeout) {
         reader.readMilliseconds(name, timeout, Constants::MIN_CALLER_TIMEOUT_MS,
                                 Constants::MAX_TIMEOUT_MS, Presence::Optional);
--- a/src/libs/settings/settingsconstants.h
+++ b/src/libs/settings/settingsconstants.h
@@ -18,6 +18,10 @@
 constexpr std::uint64_t MIN_BUDGET_BYTES = 64ULL << 10;
 constexpr std::uint64_t MAX_BUDGET_BYTES = 4ULL << 30;
 constexpr std::uint64_t MIN_CALLER_TIMEOUT_MS = 100;
+/// The smallest is two segments of an Ethernet, so that the sender does not wait for delayed
+/// acknowledgements.
+constexpr std::uint64_t MIN_RECEIVE_BUFFER_BYTES = 4096;
+constexpr std::uint64_t MAX_RECEIVE_BUFFER_BYTES = 4ULL << 20;
 
 // Limits for callers that follow from what a host grants. The smallest known one has 120 MB and
 // 3,075 descriptors; an idle daemon takes about 20 MB of it.
@@ -31,6 +35,9 @@
 /// The allocator takes up to twice the counted bytes while a vector grows.
 constexpr std::uint64_t REQUEST_MEMORY_DIVISOR = 5;
 constexpr std::uint64_t ANSWER_MEMORY_DIVISOR = 20;
+/// Of the receive buffers of all callers' connections together. The kernel may hold twice the size
+/// that is set for each.
+constexpr std::uint64_t RECEIVE_MEMORY_DIVISOR = 12;
 /// A connection takes about 10 KB, so that all of them take less than a tenth of the memory.
 constexpr std::uint64_t CONNECTIONS_PER_MB = 8;
 /// The others are for peers, executors and the store.
--- a/src/plugins/peerlink/inboundconnection.cpp
+++ b/src/plugins/peerlink/inboundconnection.cpp
@@ -143,6 +143,8 @@
     m_stage = Stage::Ready;
     m_readBuffer.resize(Constants::READ_BUFFER_BYTES);
     m_decoder.setMaxFrameBytes(Wire::Constants::MAX_FRAME_BYTES);
+    asio::error_code ec;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(Constants::PEER_RECEIVE_BYTES), ec);
     restartIdleTimer();
     return true;
 }
--- a/src/plugins/peerlink/peerlink.cpp
+++ b/src/plugins/peerlink/peerlink.cpp
@@ -40,6 +40,10 @@
         const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(own.address), own.port);
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        // Inherited by the connections; not all systems allow it.
+        asio::error_code ec;
+        m_acceptor.set_option(
+            asio::socket_base::receive_buffer_size(Constants::HANDSHAKE_RECEIVE_BYTES), ec);
         m_acceptor.bind(endpoint);
         m_acceptor.listen();
     } catch (const std::exception &error) {
--- a/src/plugins/peerlink/peerlinkconstants.h
+++ b/src/plugins/peerlink/peerlinkconstants.h
@@ -11,6 +11,9 @@
 constexpr std::size_t READ_BUFFER_BYTES = 64U << 10;
 /// Before the handshake is complete anyone may send. A hello has at most 400 bytes.
 constexpr std::size_t HANDSHAKE_BUFFER_BYTES = 1U << 10;
+/// Receive buffers in the kernel, before and after the handshake. The first are those of strangers.
+constexpr int HANDSHAKE_RECEIVE_BYTES = 4 << 10;
+constexpr int PEER_RECEIVE_BYTES = 64 << 10;
 constexpr std::chrono::milliseconds RECONNECT_DELAY_MS{250};
 /// For connecting and the handshake together.
 constexpr std::chrono::milliseconds CONNECT_TIMEOUT_MS{4000};
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -544,7 +544,8 @@
     BOOST_TEST(memory.maxTaskBytes / 2 > tasks * Dispatch::Constants::QUEUED_TASK_BYTES);
     BOOST_TEST(memory.maxOpenRequests == 2U * limits.maxCallerConnections);
     const std::size_t sum = memory.maxJobBytes + memory.maxTaskBytes
-                            + limits.traffic.maxRequestBytes + limits.traffic.maxAnswerBytes;
+                            + limits.traffic.maxRequestBytes + limits.traffic.maxAnswerBytes
+                            + limits.traffic.receiveBufferBytes * limits.maxCallerConnections;
     BOOST_TEST(sum < std::size_t(90) << 20);
     document["dispatch"] = {{"maxJobBytes", 1'000'000}, {"maxTaskBytes", 1}};
     BOOST_TEST(!parsePlatformSettings(document.dump(), faults).has_value());
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -178,6 +178,25 @@
     check("tasks larger than executors");
 }
 
+// Guards against what the kernel receives for a process that does not read for a while.
+BOOST_FIXTURE_TEST_CASE(stoppedProcess, Fixture)
+{
+    // All are accepted before.
+    for (std::size_t i = 0; i < CROWD; ++i)
+        addSender(daemons[0]->callers(),
+                  {std::make_shared<const std::string>(jobHeader(BODY_BYTES))});
+    waitForCrowd();
+    pass(STOPPED_MS);
+    daemons[0]->process().signal(SIGSTOP);
+    const auto body = std::make_shared<const std::string>(BODY_BYTES - 1, ' ');
+    for (const auto &it : senders)
+        it->append(body);
+    pass(STOPPED_MS);
+    daemons[0]->process().signal(SIGCONT);
+    waitForCrowd();
+    check("stopped process");
+}
+
 // Guards against a load balancer that gets no answer while callers and others send too much.
 BOOST_FIXTURE_TEST_CASE(readinessBesideCrowds, Fixture)
 {
