Daemon: the allocator's threshold for mapped blocks stays at its initial value

Cause: glibc raises the size from which it maps blocks to that of the largest mapped block that was freed. After the first large body the bodies of all connections come from the heap. While they grow and are freed in between, they fragment it, and it doesn't shrink: with 25 MB counted by the ledger.

--- a/src/app/endivepathd/main.cpp
+++ b/src/app/endivepathd/main.cpp
@@ -10,11 +10,26 @@
 #include <iostream>
 #include <sstream>
 
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
+
 /// Exit codes, as documented in docs/operations.md.
 static constexpr int EXIT_OK = 0;
 static constexpr int EXIT_START_FAILED = 1;
 static constexpr int EXIT_USAGE = 2;
 
+/// By default the allocator raises the size from which it maps blocks to that of the largest one
+/// that was freed. After the first large body, those of all callers are then on the heap, which
+/// they fragment while they grow, and which does not shrink.
+static void fixMappingThreshold()
+{
+#ifdef __GLIBC__
+    static constexpr int MAPPED_BLOCK_BYTES = 128 << 10; // glibc's initial value
+    mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+#endif
+}
+
 static int run(const std::string &path, bool isCheckOnly)
 {
     std::ifstream file(path);
@@ -69,6 +84,7 @@
 
 int main(int argc, char **argv)
 {
+    fixMappingThreshold();
     cxxopts::Options options("endivepathd", "Dispatcher for sub-second tasks");
     options.add_options()("settings", "Settings file", cxxopts::value<std::string>());
     options.add_options()("platform", "Run on the users' platform; the settings file is by default "
--- a/tests/system/tst_openrequests.cpp
+++ b/tests/system/tst_openrequests.cpp
@@ -178,6 +178,19 @@
     check("tasks larger than executors");
 }
 
+// Guards against memory that the allocator keeps of bodies whose callers have left: they come and
+// go in waves, and stop just short of their ends.
+BOOST_FIXTURE_TEST_CASE(wavesOfUnfinishedBodies, Fixture)
+{
+    for (int i = 0; i < WAVES; ++i) {
+        crowdOfUnfinishedBodies(WAVE);
+        pass(WAVE_MS);
+        if (senders.size() > 3 * WAVE)
+            senders.erase(senders.begin(), senders.begin() + std::ptrdiff_t(WAVE));
+    }
+    check("waves of unfinished bodies");
+}
+
 // Guards against what the kernel receives for a process that does not read for a while.
 BOOST_FIXTURE_TEST_CASE(stoppedProcess, Fixture)
 {
