--- a/tests/auto/platform/tst_jobgateway.cpp
+++ b/tests/auto/platform/tst_jobgateway.cpp
@@ -130,6 +130,33 @@
     BOOST_TEST(statuses.back() == 200);
 }
 
+// Guards against jobs that run on for callers that have left, with several requests on a connection
+// and several callers of a job.
+BOOST_AUTO_TEST_CASE(closedConnectionCancelsItsJobs)
+{
+    apply();
+    addExecutor();
+    const auto id = [](int i) { return "/q/5c0e7a21d94b360" + std::to_string(i); };
+    send("POST", id(1), body, 1);
+    send("POST", id(2), body, 1);
+    send("POST", id(2), body, 2);
+    send("POST", id(3), body, 2);
+    send("POST", id(3), body, 2);
+    gateway.connectionClosed(7);
+    BOOST_TEST(jobs.jobCount() == 3U);
+    gateway.connectionClosed(1);
+    BOOST_TEST(jobs.jobCount() == 2U);
+    gateway.connectionClosed(1);
+    jobs.reportsReceived({"g", 2, "5c0e7a21d94b3602", {{0, 0, 0, 1, 1, "x"}}});
+    BOOST_TEST(statuses.size() == 1U);
+    send("POST", id(4), body, 1); // a connection may have ended jobs and new ones
+    gateway.connectionClosed(2);
+    BOOST_TEST(jobs.jobCount() == 1U);
+    gateway.connectionClosed(1);
+    BOOST_TEST(jobs.jobCount() == 0U);
+    BOOST_TEST(statuses.size() == 1U);
+}
+
 // Guards against a running job being changed by a caller that reuses its id by mistake.
 BOOST_AUTO_TEST_CASE(sameIdWithAnotherBodyIsTheSameJob)
 {
