Http: a dropped request releases its connection

Cause: RESTinio destroys a connection whose only request is dropped, without closing the socket through MeteredSocket::close(). The ledger kept its entry for good, with an open request. In the test, 600 such entries filled the limit while 7 connections were open; that looked as if an idle connection had been closed for a new one.

The destructor of the socket reports the end.

--- a/src/libs/http/meteredsocket.cpp
+++ b/src/libs/http/meteredsocket.cpp
@@ -76,6 +76,7 @@
 
 void ConnectionTable::stop()
 {
+    m_isStopped = true;
     m_timer.cancel();
     if (m_watch)
         m_watch->stop();
@@ -106,7 +107,7 @@
 {
     // Not at once: the caller may be a function of RESTinio's object for the connection, which is
     // destroyed if the handler drops the last request of it.
-    if (m_connections.erase(id) > 0 && m_closed)
+    if (m_connections.erase(id) > 0 && m_closed && !m_isStopped)
         asio::post(m_io, [closed = m_closed, id] { closed(id); });
 }
 
--- a/src/libs/http/meteredsocket.h
+++ b/src/libs/http/meteredsocket.h
@@ -86,6 +86,7 @@
     const ConnectionLedger::ListenerNumber m_listener;
     const ClosedHandler m_closed;
     std::shared_ptr<HangupWatch> m_watch;
+    bool m_isStopped = false; // ends of connections are not reported any more
     std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> m_connections;
 };
 
@@ -109,10 +110,13 @@
             m_connection->m_socket = this;
     }
     MeteredSocket &operator=(MeteredSocket &&) = delete;
+    /// RESTinio drops a connection without closing it if the handler drops its only open request.
     ~MeteredSocket()
     {
-        if (m_connection)
-            m_connection->m_socket = nullptr;
+        if (!m_connection)
+            return;
+        m_connection->m_socket = nullptr;
+        m_connection->closed();
     }
 
     bool attach(std::uint64_t id) { return m_table->attach(*this, id); }
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -67,7 +67,7 @@
 };
 
 /// Sends the response to a request. Call it once, immediately or later, on the event loop's thread.
-/// If it is destroyed without a call, the client gets no response until the connection times out.
+/// If it is destroyed without a call, the client gets no response; its connection is closed.
 using Respond = std::function<void(Response)>;
 using RequestHandler = std::function<void(Request, Respond)>;
 
--- a/standins/workers/main.cpp
+++ b/standins/workers/main.cpp
@@ -40,9 +40,7 @@
     Http::ServerOptions options;
     options.address = upstream.url.substr(scheme + 2, colon - scheme - 2);
     options.port = static_cast<std::uint16_t>(std::stoul(upstream.url.substr(colon + 1)));
-    // A silent worker keeps connections open that daemons replace, and the limit is not what tests
-    // are about: at the limit the server closes idle connections, that of the test among them.
-    options.maxConnections = upstream.connections * 100;
+    options.maxConnections = upstream.connections * 10;
     return options;
 }
 
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -37,6 +37,44 @@
     return options;
 }
 
+// Guards against connections that count for good since their request was dropped without a
+// response: they filled the limit, and each new connection was closed.
+BOOST_AUTO_TEST_CASE(droppedRequestsReleaseTheirConnections)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    ServerOptions options = optionsFor(port);
+    options.maxConnections = 10;
+    Server server(io, options, [](const Request &request, const Respond &respond) {
+        if (!request.matches("GET", {"dropped"}))
+            respond({});
+    });
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    int dropped = 0;
+    int status = 0;
+    const auto get = [&](const std::string &path, const ResponseHandler &handler) {
+        ClientRequest request;
+        request.url = urlOf(port, path);
+        request.idempotent = false;
+        client.send(request, handler);
+    };
+    for (int i = 0; i < 30; ++i) {
+        get("/dropped", [&](const ClientResponse &response) {
+            BOOST_TEST(!response.status.ok());
+            if (++dropped < 30)
+                return;
+            get("/answered", [&](const ClientResponse &answer) {
+                status = answer.httpStatus;
+                io.stop();
+            });
+        });
+    }
+    io.run_for(std::chrono::seconds(20));
+    BOOST_TEST(dropped == 30);
+    BOOST_TEST(status == 200);
+}
+
 // Guards against parts of a request or response that client or server drop.
 BOOST_AUTO_TEST_CASE(requestsReachTheHandler)
 {
