Http: a connection that was just answered is not closed for a new one

Callers saw: at the connection limit, whoever had just been served lost its connection to a stranger, and perhaps the request that it was sending on it, which may have run and is sent again.

--- a/src/libs/http/connectionledger.cpp
+++ b/src/libs/http/connectionledger.cpp
@@ -55,17 +55,26 @@
     ++listener.connections;
     listener.closable.insert(closingKey(connection, entry));
     m_entries.emplace(connection, std::move(entry));
-    // The new connection is the last choice of those that have not completed a request, and comes
-    // before idle ones: these have been of use.
-    if (listener.connections > listener.maxConnections) {
-        const auto first = listener.closable.begin();
-        const bool isNew = std::get<ConnectionNumber>(*first) == connection;
-        const auto victim = isNew && listener.closable.size() > 1 ? std::next(first) : first;
-        refuse(std::get<ConnectionNumber>(*victim), Refusal::TooManyConnections);
-    }
+    if (listener.connections > listener.maxConnections)
+        refuse(closedFor(connection, listener, now), Refusal::TooManyConnections);
     return connection;
 }
 
+/// The connection that gives way to \a added, which may be that itself.
+ConnectionLedger::ConnectionNumber
+ConnectionLedger::closedFor(ConnectionNumber added, const Listener &listener, TimePoint now) const
+{
+    const auto first = listener.closable.begin();
+    const ConnectionNumber oldest = std::get<ConnectionNumber>(*first);
+    if (oldest != added)
+        return oldest;
+    // All others have completed requests.
+    const auto idle = std::next(first);
+    const bool isIdle = idle != listener.closable.end()
+                        && now - std::get<TimePoint>(*idle) >= m_limits.keptIdleTime;
+    return isIdle ? std::get<ConnectionNumber>(*idle) : added;
+}
+
 void ConnectionLedger::remove(ConnectionNumber connection)
 {
     const auto it = m_entries.find(connection);
--- a/src/libs/http/connectionledger.h
+++ b/src/libs/http/connectionledger.h
@@ -47,7 +47,9 @@
 /// last. A connection that holds less than its equal share (maxRequestBytes divided by the number
 /// of connections) is therefore never closed for another's bytes. If there are too many
 /// connections, one without an open request is closed: of those that never completed a request the
-/// oldest, else the one that is idle for the longest time.
+/// oldest, else the one that is idle for the longest time. If that was answered within
+/// keptIdleTime, the new one is closed: whoever was served is likely to send again, on a connection
+/// whose end it may not have noticed.
 class ConnectionLedger
 {
 public:
@@ -63,7 +65,7 @@
     /// A server with at most \a maxConnections connections.
     ListenerNumber addListener(std::size_t maxConnections);
     /// Adds a connection. If there are too many, another one of the listener is closed; or this one
-    /// if all others have open requests.
+    /// if all others have open requests or had them within keptIdleTime.
     ConnectionNumber add(ListenerNumber listener, Base::TimePoint now, Closer closer);
     void remove(ConnectionNumber connection);
     bool contains(ConnectionNumber connection) const { return m_entries.contains(connection); }
@@ -119,6 +121,8 @@
         std::set<ClosingKey> closable;
     };
 
+    ConnectionNumber closedFor(ConnectionNumber added, const Listener &listener,
+                               Base::TimePoint now) const;
     static ClosingKey closingKey(ConnectionNumber connection, const Entry &entry);
     static void setHeld(Holdings &holdings, ConnectionNumber connection, std::size_t &held,
                         std::size_t bytes);
--- a/src/libs/http/trafficlimits.h
+++ b/src/libs/http/trafficlimits.h
@@ -17,6 +17,8 @@
     std::chrono::milliseconds headerTimeout{10'000}; // from the first byte of a header to its end
     std::chrono::milliseconds bodyTimeout{30'000};   // from the end of the header
     std::chrono::milliseconds idleTimeout{60'000};   // without an open request
+    /// A connection that was answered this recently is not closed for a new one.
+    std::chrono::milliseconds keptIdleTime{5'000};
 
     bool operator==(const TrafficLimits &) const = default;
 };
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -64,6 +64,8 @@
     readTimeout("headerTimeoutMs", traffic.headerTimeout);
     readTimeout("bodyTimeoutMs", traffic.bodyTimeout);
     readTimeout("idleTimeoutMs", traffic.idleTimeout);
+    reader.readMilliseconds("keptIdleMs", traffic.keptIdleTime, 0, Constants::MAX_TIMEOUT_MS,
+                            Presence::Optional);
     const std::size_t largest = std::size_t(limits.maxBodyBytes) + limits.maxHeaderBytes;
     if (traffic.maxConnectionBytes < largest) {
         reader.addFault("maxConnectionBytes",
