--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -62,8 +62,10 @@
     return false;
 }
 
+/// Callers choose some of the values, of up to the size of a header.
 static void appendField(std::string &line, std::string_view name, std::string_view value)
 {
+    value = value.substr(0, Constants::MAX_LOGGED_VALUE_BYTES);
     line += fmt::format(" {}=", name);
     if (!needsQuotes(value)) {
         line += value;
