Soak: crowds of callers that send too much, and the memory of the daemons

They overlap with pauses, kills, SIGTERM, SIGHUP and changes of the desired state, while ordinary callers go on. Each daemon must stay within 120 MB, receive queues included.

--- a/tests/soak/daemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -87,6 +87,7 @@
                                      {"leaseMs", 1000},
                                      {"cpuShare", 1},
                                      {"cores", 1},
+                                     {"memoryMb", MEMORY_MB},
                                      {"logLevel", "info"}})
                                    .dump();
     setenv("ENDIVEPATH_SETTINGS", settings.c_str(), 1);
@@ -108,6 +109,11 @@
     return m_daemons[std::stoul(to.substr(1))]->peerRelays[from]->port();
 }
 
+std::optional<pid_t> Daemons::processId(std::size_t daemon) const
+{
+    return isRunning(daemon) ? std::optional(m_daemons[daemon]->process->pid()) : std::nullopt;
+}
+
 bool Daemons::isServing(std::size_t daemon) const
 {
     return isRunning(daemon) && !m_daemons[daemon]->terminated;
--- a/tests/soak/daemons.h
+++ b/tests/soak/daemons.h
@@ -13,6 +13,8 @@
 using TestSupport::FaultRelay;
 
 constexpr Milliseconds GRACE_MS{4000};
+/// Memory of the daemons' hosts.
+constexpr std::size_t MEMORY_MB = 120;
 
 class Daemons
 {
@@ -45,6 +47,7 @@
 
     /// Numbers the processes of a daemon.
     std::uint64_t generation(std::size_t daemon) const { return m_daemons[daemon]->generation; }
+    std::optional<pid_t> processId(std::size_t daemon) const;
     bool isRunning(std::size_t daemon) const { return m_daemons[daemon]->process != nullptr; }
     /// It was not told to end, and no signal has ended it.
     bool isServing(std::size_t daemon) const;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -14,6 +14,7 @@
     , daemons(io, timers, journal, options.folder, options.daemon)
     , executors(io, timers, store, ledger, journal, options.seed + 1)
     , callers(io, timers, daemons, ledger, journal, options.seed + 2)
+    , crowds(io, timers, daemons, journal)
 {
     static const char *const ZONES[] = {"north", "south", "west"};
     static constexpr double FLEET_SPEEDS[] = {0.7, 0.7, 1.7};
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "callers.h"
+#include "crowds.h"
 #include "executors.h"
 
 #include <base/asiotimers.h>
@@ -14,6 +15,8 @@
     /// The executors of a small deployment: three failure domains, three speeds, short jobs, and
     /// faults that come to many executors at one time.
     bool isFleet = false;
+    /// Crowds of callers that send too much are among the faults.
+    bool hasCrowds = false;
     std::string daemon = EP_BIN_DIR "/endivepathd"; // program under test
     Milliseconds duration{20'000};                  // with load and faults
     std::size_t daemons = 3;
@@ -43,6 +46,7 @@
     Daemons daemons;
     Executors executors;
     Callers callers;
+    Crowds crowds;
 
 private:
     std::string viewOf(std::size_t reader, const std::string &table, const std::string &key,
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -26,6 +26,9 @@
 /// One executor in this many carries orders out late.
 static constexpr std::size_t LATE_EXECUTORS_RATIO = 6;
 static constexpr std::uint64_t MIN_ORDER_DELAY_MS = 300;
+/// Connections of a crowd; up to 250 more follow from the seed. Some crowds that overlap stay below
+/// the host's limit, beyond which ordinary callers may be refused.
+static constexpr std::uint64_t MIN_CROWD = 100;
 
 struct FaultKind
 {
@@ -240,6 +243,17 @@
     {"fleetLateOrders", 4, 300, 1500, delayOrders},
 };
 
+static void sendCrowd(Deployment &it, const Fault &fault)
+{
+    const auto form = CrowdForm(fault.variant % std::uint64_t(CrowdForm::Count));
+    it.crowds.send(fault.daemon, form, MIN_CROWD + fault.variant / 4, fault.duration);
+}
+
+/// Kinds for many connections at one time.
+static const FaultKind CROWD_KINDS[] = {
+    {"crowd", 30, 500, 4000, sendCrowd},
+};
+
 static const FaultKind KINDS[] = {
     {"executorSilent", 10, 300, 3000,
      [](auto &it, auto &fault) { cutExecutor(it, fault.executor, LinkFault::Silent, fault); }},
@@ -316,6 +330,8 @@
     std::for_each(std::begin(KINDS), std::end(KINDS), add);
     if (options.isFleet)
         std::for_each(std::begin(FLEET_KINDS), std::end(FLEET_KINDS), add);
+    if (options.hasCrowds)
+        std::for_each(std::begin(CROWD_KINDS), std::end(CROWD_KINDS), add);
     if (kinds.empty())
         throw std::runtime_error("no such faults");
     return kinds;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -64,6 +64,8 @@
 
 static void playFaults(Deployment &it)
 {
+    if (it.options.hasCrowds)
+        it.crowds.watchMemory();
     it.callers.start(it.options.callers, MEAN_CALLER_PAUSE_MS);
     for (const Fault &fault : planFaults(it.options))
         it.timers.schedule(fault.begin, [&it, fault] { inject(it, fault); });
@@ -146,6 +148,7 @@
     add("faults", "kinds to inject, by the beginnings of their names",
         value<std::vector<std::string>>()->default_value(""));
     add("fleet", "8 daemons, 48 executors, short jobs, and faults of many executors at one time");
+    add("crowds", "crowds of callers that send too much are among the faults");
     add("daemon", "program under test, in place of the built one", value<std::string>());
     add("list", "file with seeds and options to play instead", value<std::string>());
     add("help", "print this help");
@@ -163,6 +166,7 @@
     options.callers = arguments["callers"].as<std::size_t>();
     options.faults = arguments["faults"].as<std::vector<std::string>>();
     options.isFleet = arguments.count("fleet") > 0;
+    options.hasCrowds = arguments.count("crowds") > 0;
     if (options.isFleet) {
         options.daemons = FLEET_DAEMONS;
         options.executors = FLEET_EXECUTORS;
