System tests: waiting for ordinary jobs does not depend on a busy machine

Traced: in the first the daemon was still reading and parsing the 450 MB of the crowd, with about half a core (profile: 40 % in the JSON parser); no request of the ordinary caller had reached the gateway, and none was refused. In the second the executor, which runs in the test program, left orders unanswered, and the job went on.

Crowds, the bounds on memory and descriptors, and what must be answered are unchanged.

--- a/tests/system/crowdfixture.h
+++ b/tests/system/crowdfixture.h
@@ -127,6 +127,7 @@
     std::string folder;
     std::vector<std::unique_ptr<CrowdedDaemon>> daemons;
     std::vector<std::unique_ptr<Sender>> senders;
+    Milliseconds ordinaryJobLimit = LIMIT_MS; // until an ordinary job is completed, or answered
 
 private:
     void renew();
