--- /dev/null
+++ b/review/harness-3/cases.cpp
@@ -0,0 +1,342 @@
+// The review's cases. Usage: cases NAME FOLDER PROGRAM. Exit code: 1 if the rule was broken, 0 if
+// it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+#include "world.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <random>
+
+namespace Review {
+
+static bool hasTrouble()
+{
+    const char *text = std::getenv("TROUBLE");
+    return !text || std::string(text) != "0";
+}
+
+class CannotRun : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+static std::string jobId(unsigned group, unsigned n)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%08x%08x", group, n);
+    return text;
+}
+
+/// A client: sends jobs on channels and notes what it hears.
+struct Attempt
+{
+    std::string job;
+    double sent = 0;
+    double answered = 0;
+    int status = -1; // -1: open, 0: the channel ended without an answer
+    std::string text;
+};
+
+static std::shared_ptr<Attempt> post(World &world, const std::shared_ptr<Channel> &channel,
+                                     const Job &job, std::uint64_t deadlineMs,
+                                     const std::string &queue = "q")
+{
+    world.declare(job);
+    auto attempt = std::make_shared<Attempt>();
+    attempt->job = job.id;
+    attempt->sent = world.record.now();
+    world.record.note("client: POST " + job.id);
+    channel->send("POST", world.path(job, queue), world.host, job.body(), deadlineMs,
+                  [&world, attempt](int status, const std::string &text) {
+                      attempt->status = status;
+                      attempt->text = text;
+                      attempt->answered = world.record.now();
+                      world.record.note("client: POST " + attempt->job + " -> "
+                                        + std::to_string(status) + " " + text);
+                  });
+    return attempt;
+}
+
+static std::shared_ptr<Attempt> cancel(World &world, const std::shared_ptr<Channel> &channel,
+                                       const Job &job, const std::string &queue = "q")
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->job = job.id;
+    attempt->sent = world.record.now();
+    world.record.note("client: DELETE " + job.id);
+    channel->send("DELETE", world.path(job, queue), world.host, "", 4000,
+                  [&world, attempt](int status, const std::string &text) {
+                      attempt->status = status;
+                      attempt->text = text;
+                      attempt->answered = world.record.now();
+                      world.record.note("client: DELETE " + attempt->job + " -> "
+                                        + std::to_string(status) + " " + text);
+                  });
+    return attempt;
+}
+
+static std::shared_ptr<Channel> open(World &world, const Process &process)
+{
+    return std::make_shared<Channel>(world.io, process.front);
+}
+
+static void startAll(World &world)
+{
+    world.connect();
+    for (const auto &it : world.processes)
+        world.startProcess(*it);
+    if (!world.waitReady(Ms(10000)))
+        throw CannotRun("the processes do not become ready");
+    world.runFor(Ms(1500));
+}
+
+static Job makeJob(const std::string &id, std::uint32_t count, std::uint32_t cpu,
+                   std::uint32_t workMs)
+{
+    Job job;
+    job.id = id;
+    job.count = count;
+    job.cpu = cpu;
+    job.workMs = workMs;
+    job.estimateMs = workMs;
+    return job;
+}
+
+/// The platform's entry: one readiness probe a second for each process; after two misses it gets no
+/// new channels until it answers with 200 again.
+class Entry
+{
+public:
+    explicit Entry(World &world)
+        : m_world(world)
+    {
+        probe();
+    }
+
+    /// A new channel of the client, to a process in rotation.
+    std::shared_ptr<Channel> channel(std::size_t client) const
+    {
+        std::vector<const Process *> rotation;
+        for (const auto &it : m_world.processes) {
+            const auto misses = m_misses.find(it->name);
+            if (misses == m_misses.end() || misses->second < 2)
+                rotation.push_back(it.get());
+        }
+        // With fewer than half of the zone's processes in rotation, all of them are used.
+        if (rotation.size() * 2 < m_world.processes.size()) {
+            rotation.clear();
+            for (const auto &it : m_world.processes)
+                rotation.push_back(it.get());
+        }
+        return open(m_world, *rotation[client * 7919 % rotation.size()]);
+    }
+
+private:
+    void probe()
+    {
+        for (const auto &it : m_world.processes) {
+            auto channel = std::make_shared<Channel>(m_world.io, it->ready);
+            after(m_world.io, Ms(900), [channel] { channel->close(); });
+            channel->send("GET", "/readiness", "ready", "", 1000,
+                          [this, name = it->name](int status, const std::string &) {
+                              m_misses[name] = status == 200 ? 0 : m_misses[name] + 1;
+                          });
+        }
+        after(m_world.io, Ms(1000), [this] { probe(); });
+    }
+
+    World &m_world;
+    std::map<std::string, int> m_misses;
+};
+
+/// Clients that keep their channels, and send a job of two tasks every few seconds.
+class Clients
+{
+public:
+    Clients(World &world, Entry &entry, unsigned count, Ms pause)
+        : m_world(world)
+        , m_entry(entry)
+        , m_pause(pause)
+        , m_channels(count)
+    {
+        for (unsigned i = 0; i < count; ++i)
+            scheduleNext(i);
+    }
+
+    void stop() { m_isStopped = true; }
+    const std::vector<std::shared_ptr<Attempt>> &attempts() const { return m_attempts; }
+
+private:
+    void scheduleNext(unsigned i)
+    {
+        // Between half of the pause and one and a half of it.
+        const Ms wait(m_pause.count() / 2
+                      + std::int64_t(m_random() % std::uint64_t(m_pause.count())));
+        after(m_world.io, wait, [this, i] {
+            if (m_isStopped)
+                return;
+            std::shared_ptr<Channel> &channel = m_channels[i];
+            if (channel && channel->isBusy()) {
+                scheduleNext(i);
+                return;
+            }
+            if (!channel || !channel->isOpen())
+                channel = m_entry.channel(i);
+            if (channel->isOpen())
+                m_attempts.push_back(
+                    post(m_world, channel, makeJob(jobId(i, ++m_jobs), 2, 1000, 200), 1500));
+            scheduleNext(i);
+        });
+    }
+
+    World &m_world;
+    Entry &m_entry;
+    Ms m_pause;
+    std::vector<std::shared_ptr<Channel>> m_channels;
+    std::vector<std::shared_ptr<Attempt>> m_attempts;
+    std::mt19937 m_random{std::random_device{}()};
+    unsigned m_jobs = 0;
+    bool m_isStopped = false;
+};
+
+/// Three processes get SIGTERM in turn and are started again. Clients keep their channels.
+static bool rollingStop(World &world)
+{
+    for (int i = 0; i < 6; ++i)
+        world.addExecutor({.id = "x" + std::to_string(i)});
+    for (const char *name : {"d1", "d2", "d3"})
+        world.addProcess(name, "z1");
+    world.writeConfig(1, json::array({world.route("q")}));
+    startAll(world);
+    Entry entry(world);
+    Clients clients(world, entry, 180, Ms(6000));
+    world.runFor(Ms(8000));
+    const double begin = world.record.now();
+    for (std::size_t i = 0; world.record.now() - begin < 65000; ++i) {
+        if (!hasTrouble()) {
+            world.runFor(Ms(1000));
+            continue;
+        }
+        Process &it = *world.processes[i % 3];
+        world.signal(it, SIGTERM);
+        if (!world.runUntil([&] { return world.hasEnded(it); }, Ms(7000)))
+            throw CannotRun("a process does not end within graceS");
+        world.runFor(Ms(1000));
+        world.startProcess(it);
+        world.runFor(Ms(4000));
+    }
+    clients.stop();
+    world.runFor(Ms(2500));
+    std::size_t lost = 0;
+    std::size_t answered = 0;
+    for (const auto &it : clients.attempts()) {
+        answered += it->status > 0 ? 1 : 0;
+        if (it->status > 0 || world.runsOf(it->job).empty())
+            continue;
+        ++lost;
+        world.record.note("LOST: POST " + it->job + ", sent at " + std::to_string(it->sent)
+                          + ", was passed on to an executor at "
+                          + std::to_string(world.runsOf(it->job).front().begin)
+                          + ", and its channel ended at " + std::to_string(it->answered)
+                          + " without an answer");
+    }
+    world.record.note("requests " + std::to_string(clients.attempts().size()) + ", answered "
+                      + std::to_string(answered) + ", lost " + std::to_string(lost));
+    return lost > 0;
+}
+
+/// A cancel is acknowledged, then all processes are killed and started again. A copy of the
+/// submission arrives seconds after its answer.
+static bool cancelForgotten(World &world)
+{
+    for (int i = 0; i < 6; ++i)
+        world.addExecutor({.id = "x" + std::to_string(i), .zone = i < 3 ? "z1" : "z2"});
+    world.addProcess("d1", "z1");
+    world.addProcess("d2", "z2");
+    world.addProcess("d3", "z1");
+    world.writeConfig(1, json::array({world.route("q")}));
+    startAll(world);
+    std::vector<Job> jobs;
+    std::vector<std::shared_ptr<Attempt>> cancels;
+    std::vector<std::shared_ptr<Attempt>> first;
+    for (unsigned i = 0; i < 6; ++i) {
+        jobs.push_back(makeJob(jobId(3, i), 2, 2000, 1500));
+        first.push_back(post(world, open(world, *world.processes[i % 3]), jobs[i], 4000));
+    }
+    world.runFor(Ms(400));
+    for (unsigned i = 0; i < 6; ++i)
+        cancels.push_back(cancel(world, open(world, *world.processes[(i + i / 3) % 3]), jobs[i]));
+    world.runFor(Ms(400));
+    for (unsigned i = 0; i < 6; ++i) {
+        if (cancels[i]->status != 200 || first[i]->status != 200)
+            throw CannotRun("a cancel was not acknowledged");
+    }
+    if (hasTrouble()) {
+        for (const auto &it : world.processes)
+            world.signal(*it, SIGKILL);
+        world.runFor(Ms(300));
+        for (const auto &it : world.processes)
+            world.startProcess(*it);
+    }
+    const double restarted = world.record.now();
+    if (!world.waitReady(Ms(5000)))
+        throw CannotRun("the processes do not become ready again");
+    // All have been in touch for contactMs (3 s) and a bit.
+    world.runFor(Ms(3300 - std::int64_t(world.record.now() - restarted)));
+    std::vector<std::shared_ptr<Attempt>> copies;
+    for (unsigned i = 0; i < 6; ++i)
+        copies.push_back(post(world, open(world, *world.processes[(i + 1) % 3]), jobs[i], 4000));
+    world.runFor(Ms(4000));
+    bool isBroken = false;
+    for (unsigned i = 0; i < 6; ++i) {
+        for (const RunRecord &it : world.runsOf(jobs[i].id)) {
+            const double after = it.begin - cancels[i]->answered;
+            if (after <= 3000) // cancel_ms
+                continue;
+            isBroken = true;
+            world.record.note("UNASKED: " + it.task + " was started " + std::to_string(after)
+                              + " ms after its job's cancel was acknowledged");
+        }
+    }
+    return isBroken;
+}
+
+using Case = bool (*)(World &);
+
+static const std::map<std::string, Case> CASES = {
+    {"rollingStop", rollingStop},
+    {"cancelForgotten", cancelForgotten},
+};
+
+} // namespace Review
+
+int main(int argc, char **argv)
+{
+    using namespace Review;
+    std::signal(SIGPIPE, SIG_IGN);
+    if (argc != 4 || !CASES.contains(argv[1]))
+        return 2;
+    const std::string folder = argv[2];
+    std::string scratch = std::filesystem::temp_directory_path() / "review-XXXXXX";
+    if (!mkdtemp(scratch.data()))
+        return 2;
+    Record record(folder + "/record.txt");
+    int code = 2;
+    try {
+        World world(record, argv[3], scratch);
+        const bool isBroken = CASES.at(argv[1])(world);
+        record.note(isBroken ? "RESULT: the rule was broken" : "RESULT: the rule held");
+        std::cout << argv[1] << ": " << (isBroken ? "broken" : "held") << '\n';
+        code = isBroken ? 1 : 0;
+    } catch (const std::exception &error) {
+        record.note(std::string("RESULT: could not run: ") + error.what());
+        std::cout << argv[1] << ": could not run: " << error.what() << '\n';
+    }
+    if (!std::getenv("KEEP_LOGS"))
+        std::filesystem::remove_all(scratch);
+    else
+        std::cout << "logs in " << scratch << '\n';
+    return code;
+}
