--- a/review/harness-3/cases.cpp
+++ b/review/harness-3/cases.cpp
@@ -303,11 +303,122 @@
     return isBroken;
 }
 
+/// Two processes whose registrations have versions that are equal modulo 65,536 claim the same
+/// executors under one token while one of them is cut off from the others.
+static bool sameToken(World &world)
+{
+    static constexpr std::uint64_t PERIOD = 65536;
+    for (int i = 0; i < 6; ++i)
+        world.addExecutor({.id = "x" + std::to_string(i), .zone = "z1"});
+    Process &cutOff = world.addProcess("d1", "z2");
+    Process &next = world.addProcess("d2", "z2");
+    Process &owner = world.addProcess("d3", "z1");
+    world.writeConfig(1, json::array({world.route("q")}));
+    world.connect();
+    world.store.beforeWrite = [&world](const std::string &table, const std::string &key) {
+        const std::uint64_t other = world.store.versionOf("daemons", "d1");
+        if (table != "daemons" || key != "d2" || world.store.versionOf(table, key) > 0)
+            return;
+        if (std::getenv("NO_COLLISION"))
+            return;
+        // Others have written to their own tables since.
+        world.store.othersWrite(other + PERIOD - 1 - world.store.version());
+    };
+    for (Process *it : {&cutOff, &next, &owner}) {
+        world.startProcess(*it);
+        if (!world.waitReady(Ms(8000)))
+            throw CannotRun("the processes do not become ready");
+        world.runFor(Ms(1500));
+    }
+    world.runFor(Ms(2500));
+    std::vector<std::shared_ptr<Attempt>> attempts;
+    unsigned n = 0;
+    const auto load = [&](Ms time) {
+        const double end = world.record.now() + double(time.count());
+        while (world.record.now() < end) {
+            const Process &process = n % 2 == 0 ? cutOff : next;
+            attempts.push_back(
+                post(world, open(world, process), makeJob(jobId(4, ++n), 3, 6000, 300), 1500));
+            world.runFor(Ms(90));
+        }
+    };
+    load(Ms(3000));
+    const std::size_t before = world.overCapacity;
+    const auto between = [&](bool isCut) {
+        for (Process *it : {&owner, &next}) {
+            for (Relay *relay : {it->toPeers[cutOff.name].get(), cutOff.toPeers[it->name].get()}) {
+                if (isCut)
+                    relay->cut();
+                else
+                    relay->heal();
+            }
+        }
+        world.record.note(isCut ? "d1 is cut off from the others" : "the cut is over");
+    };
+    if (hasTrouble())
+        between(true);
+    load(Ms(5500));
+    if (hasTrouble())
+        between(false);
+    load(Ms(10000));
+    world.runFor(Ms(2500));
+    world.record.note("LIMIT: " + std::to_string(world.overCapacity)
+                      + " starts brought an executor over its capacity");
+    if (before > 0)
+        throw CannotRun("over capacity before the disruption");
+    return world.overCapacity > 0;
+}
+
+/// Executors crash and start again under their ids, some as another kind.
+static bool kindChanged(World &world)
+{
+    static constexpr unsigned EXECUTORS = 16;
+    for (unsigned i = 0; i < EXECUTORS; ++i) {
+        world.addExecutor({.id = "x" + std::string(i < 10 ? "0" : "") + std::to_string(i),
+                           .kind = i < 12 ? "a" : "b"});
+    }
+    world.addProcess("d1", "z1");
+    world.addProcess("d2", "z1");
+    world.writeConfig(1, json::array({world.route("q")}));
+    startAll(world);
+    std::mt19937 random(std::random_device{}());
+    const double begin = world.record.now();
+    double nextCrash = begin + 2000;
+    std::vector<std::shared_ptr<Attempt>> attempts;
+    unsigned n = 0;
+    while (world.record.now() - begin < 60000) {
+        Job job = makeJob(jobId(5, ++n), 16, 6000, 150);
+        job.requirements = "a";
+        attempts.push_back(post(world, open(world, *world.processes[n % 2]), job, 1500));
+        const double next = world.record.now() + 350 + double(random() % 400);
+        while (world.record.now() < next) {
+            world.runFor(Ms(5));
+            if (!hasTrouble() || world.record.now() < nextCrash)
+                continue;
+            nextCrash += 3000;
+            for (int i = 0; i < 2; ++i) {
+                Executor &it = *world.executors[random() % EXECUTORS];
+                if (!it.isUp())
+                    continue;
+                it.setKind(it.options().kind == "a" ? "b" : "a");
+                it.crash(Ms(200));
+            }
+        }
+    }
+    world.runFor(Ms(2000));
+    world.record.note("ROUTE: " + std::to_string(world.withoutLabel)
+                      + " starts on an executor without the required label, jobs "
+                      + std::to_string(n));
+    return world.withoutLabel > 0;
+}
+
 using Case = bool (*)(World &);
 
 static const std::map<std::string, Case> CASES = {
     {"rollingStop", rollingStop},
     {"cancelForgotten", cancelForgotten},
+    {"sameToken", sameToken},
+    {"kindChanged", kindChanged},
 };
 
 } // namespace Review
--- a/review/harness-3/world.cpp
+++ b/review/harness-3/world.cpp
@@ -120,13 +120,15 @@
                 return;
             }
         }
+        for (const json &it : body.value("writes", json::array())) {
+            if (beforeWrite)
+                beforeWrite(it.at("table"), it.at("key"));
+        }
         ++m_version;
         std::set<std::string> tables;
         for (const json &it : body.value("writes", json::array())) {
             const std::string table = it.at("table");
             const std::string key = it.at("key");
-            if (onWrite)
-                onWrite(table, key);
             m_rows[{table, key}] = {unbase64(it.at("value")), m_version, false};
             tables.insert(table);
             m_record.note("store: " + table + "/" + key + " written, ver "
@@ -187,6 +189,12 @@
     });
 }
 
+std::uint64_t Store::versionOf(const std::string &table, const std::string &key) const
+{
+    const auto it = m_rows.find({table, key});
+    return it == m_rows.end() ? 0 : it->second.version;
+}
+
 std::uint64_t Store::put(const std::string &table, const std::string &key, const std::string &value)
 {
     m_rows[{table, key}] = {value, ++m_version, false};
@@ -286,7 +294,7 @@
     m_holds.clear();
     m_server->shut();
     after(m_world.io, downtime, [this] {
-        m_world.record.note("executor " + m_options.id + " starts again");
+        m_world.record.note("executor " + m_options.id + " starts again, kind " + m_options.kind);
         m_server->open();
         begin();
     });
@@ -409,6 +417,12 @@
     extend(body);
     const bool isOver = usedCpu() > m_options.cpu;
     m_world.overCapacity += isOver ? 1 : 0;
+    if (!job->requirements.empty() && job->requirements != m_options.kind) {
+        ++m_world.withoutLabel;
+        m_world.record.note("executor " + m_options.id + " has no label " + job->requirements
+                            + " (" + m_options.kind + "), in this lifetime for "
+                            + std::to_string(clock() - 1000) + " ms");
+    }
     m_world.record.note("executor " + m_options.id + " starts " + task + " run "
                         + std::to_string(number) + " token "
                         + std::to_string(body.value("fencingToken", std::uint64_t(0)))
@@ -496,7 +510,9 @@
 
 std::string Job::body() const
 {
-    const json step{{"count", count}, {"cpu", cpu}, {"memMb", 64}, {"estimateMs", estimateMs}};
+    json step{{"count", count}, {"cpu", cpu}, {"memMb", 64}, {"estimateMs", estimateMs}};
+    if (!requirements.empty())
+        step["requirements"] = requirements;
     return json{{"spec", "work of " + id}, {"bestEffort", true}, {"phases", json::array({step})}}
         .dump();
 }
--- a/review/harness-3/world.h
+++ b/review/harness-3/world.h
@@ -42,7 +42,9 @@
     void othersWrite(std::uint64_t transactions) { m_version += transactions; }
     std::uint64_t version() const { return m_version; }
     /// Called with the table and key before each write of the system.
-    std::function<void(const std::string &, const std::string &)> onWrite;
+    std::function<void(const std::string &, const std::string &)> beforeWrite;
+    /// The version of a row; 0 if there is none.
+    std::uint64_t versionOf(const std::string &table, const std::string &key) const;
 
 private:
     struct Row
@@ -108,6 +110,8 @@
     const Options &options() const { return m_options; }
     std::uint16_t port() const { return m_port; }
     void setCpu(std::uint32_t cpu);
+    /// From its next start on.
+    void setKind(const std::string &kind) { m_options.kind = kind; }
     /// The process dies; everything that it knew is gone. It starts again under its id.
     void crash(Ms downtime);
     bool isUp() const { return m_isUp; }
@@ -194,6 +198,7 @@
     std::uint32_t cpu = 4000;
     std::uint32_t workMs = 500;
     std::uint32_t estimateMs = 500;
+    std::string requirements = {}; // label
 
     std::string body() const;
 };
@@ -238,6 +243,7 @@
     std::string host = "review.example";
     json settings = json::object(); // merged into those of the processes
     std::size_t overCapacity = 0;   // starts that brought an executor over its capacity
+    std::size_t withoutLabel = 0;   // starts on an executor without the required label
 
 private:
     std::string viewOf(std::size_t reader, const std::string &table, const std::string &key,
