--- a/review/harness-3/cases.cpp
+++ b/review/harness-3/cases.cpp
@@ -412,12 +412,77 @@
     return world.withoutLabel > 0;
 }
 
+static void setCut(World &world, Process &process, bool isCut)
+{
+    world.record.note(process.name
+                      + (isCut ? " is cut off from the other processes" : " is cut off no more"));
+    for (const auto &it : world.processes) {
+        if (it.get() == &process)
+            continue;
+        for (Relay *relay : {it->toPeers[process.name].get(), process.toPeers[it->name].get()}) {
+            if (isCut)
+                relay->cut();
+            else
+                relay->heal();
+        }
+    }
+}
+
+/// One process after the other is cut off from the others. Cancels that arrive there meanwhile are
+/// for jobs of the others.
+static bool cancelAtCutOff(World &world)
+{
+    for (int i = 0; i < 6; ++i)
+        world.addExecutor({.id = "x" + std::to_string(i)});
+    for (const char *name : {"d1", "d2", "d3"})
+        world.addProcess(name, "z1");
+    world.writeConfig(1, json::array({world.route("q")}));
+    startAll(world);
+    bool isBroken = false;
+    unsigned n = 0;
+    for (std::size_t round = 0; round < 3; ++round) {
+        Process &victim = *world.processes[round];
+        std::vector<Job> jobs;
+        for (std::size_t i = 0; i < 4; ++i) {
+            Job job = makeJob(jobId(6, ++n), 1, 4000, 1500);
+            job.steps = 4;
+            jobs.push_back(job);
+            post(world, open(world, *world.processes[(round + 1 + i % 2) % 3]), job, 20000);
+        }
+        world.runFor(Ms(500));
+        if (hasTrouble())
+            setCut(world, victim, true);
+        world.runFor(Ms(100));
+        std::vector<std::shared_ptr<Attempt>> cancels;
+        for (const Job &it : jobs)
+            cancels.push_back(cancel(world, open(world, victim), it));
+        world.runFor(Ms(5400));
+        if (hasTrouble())
+            setCut(world, victim, false);
+        world.runFor(Ms(7000));
+        for (std::size_t i = 0; i < jobs.size(); ++i) {
+            if (cancels[i]->status != 200 && cancels[i]->status != 410)
+                continue;
+            for (const RunRecord &it : world.runsOf(jobs[i].id)) {
+                const double after = it.begin - cancels[i]->answered;
+                if (after <= 3000) // cancel_ms
+                    continue;
+                isBroken = true;
+                world.record.note("UNASKED: " + it.task + " was started " + std::to_string(after)
+                                  + " ms after " + victim.name
+                                  + " had acknowledged the cancel of its job with "
+                                  + std::to_string(cancels[i]->status));
+            }
+        }
+    }
+    return isBroken;
+}
+
 using Case = bool (*)(World &);
 
 static const std::map<std::string, Case> CASES = {
-    {"rollingStop", rollingStop},
-    {"cancelForgotten", cancelForgotten},
-    {"sameToken", sameToken},
+    {"rollingStop", rollingStop},       {"cancelForgotten", cancelForgotten},
+    {"cancelAtCutOff", cancelAtCutOff}, {"sameToken", sameToken},
     {"kindChanged", kindChanged},
 };
 
--- a/review/harness-3/net.cpp
+++ b/review/harness-3/net.cpp
@@ -315,7 +315,7 @@
     static unsigned next = unsigned(getpid()) * 97;
     asio::io_context io;
     for (int i = 0; i < 20000; ++i) {
-        const auto port = std::uint16_t(10000 + next++ % 20000);
+        const auto port = std::uint16_t(2000 + next++ % 8000);
         Tcp::acceptor acceptor(io);
         asio::error_code ec;
         acceptor.open(Tcp::v4());
--- a/review/harness-3/world.cpp
+++ b/review/harness-3/world.cpp
@@ -419,8 +419,8 @@
     m_world.overCapacity += isOver ? 1 : 0;
     if (!job->requirements.empty() && job->requirements != m_options.kind) {
         ++m_world.withoutLabel;
-        m_world.record.note("executor " + m_options.id + " has no label " + job->requirements
-                            + " (" + m_options.kind + "), in this lifetime for "
+        m_world.record.note("executor " + m_options.id + " has no label " + job->requirements + " ("
+                            + m_options.kind + "), in this lifetime for "
                             + std::to_string(clock() - 1000) + " ms");
     }
     m_world.record.note("executor " + m_options.id + " starts " + task + " run "
@@ -513,8 +513,13 @@
     json step{{"count", count}, {"cpu", cpu}, {"memMb", 64}, {"estimateMs", estimateMs}};
     if (!requirements.empty())
         step["requirements"] = requirements;
-    return json{{"spec", "work of " + id}, {"bestEffort", true}, {"phases", json::array({step})}}
-        .dump();
+    json phases = json::array();
+    for (std::uint32_t i = 0; i < steps; ++i) {
+        if (i > 0)
+            step["after"] = json::array({i - 1});
+        phases.push_back(step);
+    }
+    return json{{"spec", "work of " + id}, {"bestEffort", true}, {"phases", phases}}.dump();
 }
 
 World::World(Record &rec, std::string program, std::string folder)
--- a/review/harness-3/world.h
+++ b/review/harness-3/world.h
@@ -199,6 +199,7 @@
     std::uint32_t workMs = 500;
     std::uint32_t estimateMs = 500;
     std::string requirements = {}; // label
+    std::uint32_t steps = 1;       // one after the other
 
     std::string body() const;
 };
