--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,4 @@
 #!/usr/bin/env bash
-# One process is cut off from the others; the registrations of two have versions that are equal
-# modulo 65,536.
+# Executors crash and start again under their ids, some as another kind.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/cases sameToken review/15 target/bin/endivepathd
+exec target/review-3/cases kindChanged review/15 target/bin/endivepathd
