--- a/review/harness-3/cases.cpp
+++ b/review/harness-3/cases.cpp
@@ -478,12 +478,72 @@
     return isBroken;
 }
 
+/// The open channels between two processes go silent for good; new ones work. Seconds later, jobs
+/// are cancelled at one of the two, and copies of their submissions arrive at the other.
+static bool silentChannels(World &world)
+{
+    for (int i = 0; i < 9; ++i)
+        world.addExecutor({.id = "x" + std::to_string(i), .zone = "z" + std::to_string(1 + i % 3)});
+    Process &first = world.addProcess("d1", "z1");
+    world.addProcess("d2", "z2");
+    Process &third = world.addProcess("d3", "z3");
+    world.writeConfig(1, json::array({world.route("q")}));
+    startAll(world);
+    world.runFor(Ms(2000));
+    if (hasTrouble()) {
+        world.record.note("the open channels between d1 and d3 go silent");
+        first.toPeers["d3"]->silence();
+        third.toPeers["d1"]->silence();
+    }
+    world.runFor(Ms(10000));
+    bool isBroken = false;
+    std::vector<Job> jobs;
+    std::vector<std::shared_ptr<Attempt>> cancels;
+    std::vector<std::shared_ptr<Attempt>> first200;
+    for (unsigned i = 0; i < 5; ++i) {
+        jobs.push_back(makeJob(jobId(7, i), 9, 2000, 1000));
+        first200.push_back(post(world, open(world, first), jobs[i], 6000));
+        world.runFor(Ms(300));
+        cancels.push_back(cancel(world, open(world, first), jobs[i]));
+        world.runFor(Ms(300));
+    }
+    // Seconds after the answers.
+    world.runFor(Ms(3500));
+    for (const Job &it : jobs)
+        post(world, open(world, third), it, 4000);
+    // Jobs of other clients, to see how the processes serve.
+    std::vector<std::shared_ptr<Attempt>> others;
+    for (unsigned i = 0; i < 20; ++i) {
+        others.push_back(post(world, open(world, first), makeJob(jobId(8, i), 9, 1000, 100), 3000));
+        world.runFor(Ms(200));
+    }
+    world.runFor(Ms(5000));
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        if (cancels[i]->status != 200 && cancels[i]->status != 410)
+            continue;
+        for (const RunRecord &it : world.runsOf(jobs[i].id)) {
+            const double after = it.begin - cancels[i]->answered;
+            if (after <= 3000) // cancel_ms
+                continue;
+            isBroken = true;
+            world.record.note("UNASKED: " + it.task + " was started " + std::to_string(after)
+                              + " ms after its job's cancel was acknowledged");
+        }
+    }
+    std::size_t completed = 0;
+    for (const auto &it : others)
+        completed += it->status == 200 ? 1 : 0;
+    world.record.note("other jobs at d1: " + std::to_string(completed) + " of "
+                      + std::to_string(others.size()) + " completed");
+    return isBroken;
+}
+
 using Case = bool (*)(World &);
 
 static const std::map<std::string, Case> CASES = {
     {"rollingStop", rollingStop},       {"cancelForgotten", cancelForgotten},
     {"cancelAtCutOff", cancelAtCutOff}, {"sameToken", sameToken},
-    {"kindChanged", kindChanged},
+    {"kindChanged", kindChanged},       {"silentChannels", silentChannels},
 };
 
 } // namespace Review
--- a/review/harness-3/net.cpp
+++ b/review/harness-3/net.cpp
@@ -243,6 +243,12 @@
         it->isDead = true;
 }
 
+void Relay::silence()
+{
+    for (const auto &it : m_pairs)
+        it->isDead = true;
+}
+
 void Relay::heal()
 {
     m_isCut = false;
--- a/review/harness-3/net.h
+++ b/review/harness-3/net.h
@@ -123,6 +123,8 @@
     /// and are closed when the cut ends.
     void cut();
     void heal();
+    /// The connections that are open now stay open and carry nothing any more; later ones work.
+    void silence();
     bool isCut() const { return m_isCut; }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
