--- a/review/harness-3/net.cpp
+++ b/review/harness-3/net.cpp
@@ -137,6 +137,10 @@
     if (!message)
         return;
     connection->isBusy = true;
+    asio::error_code ec;
+    const auto caller = callersByPort().find(connection->socket.remote_endpoint(ec).port());
+    if (caller != callersByPort().end())
+        message->caller = caller->second;
     m_handler(*message, [this, connection](int status, const std::string &body) {
         connection->out = "HTTP/1.1 " + std::to_string(status)
                           + " X\r\nContent-Type: application/json\r\nContent-Length: "
@@ -152,6 +156,7 @@
 
 Channel::Channel(asio::io_context &io, std::uint16_t port)
     : m_io(io)
+    , m_port(port)
     , m_socket(io)
 {
     asio::error_code ec;
@@ -277,6 +282,8 @@
                 }
                 asio::error_code ignored;
                 pair->far.set_option(Tcp::no_delay(true), ignored);
+                if (!m_caller.empty())
+                    callersByPort()[pair->far.local_endpoint(ignored).port()] = m_caller;
                 pump(pair, true);
                 pump(pair, false);
             });
@@ -316,6 +323,12 @@
     reset(pair->far);
 }
 
+std::map<std::uint16_t, std::string> &callersByPort()
+{
+    static std::map<std::uint16_t, std::string> callers;
+    return callers;
+}
+
 std::uint16_t freePort()
 {
     static unsigned next = unsigned(getpid()) * 97;
--- a/review/harness-3/net.h
+++ b/review/harness-3/net.h
@@ -43,6 +43,7 @@
     std::string first; // request or status line
     std::map<std::string, std::string> headers;
     std::string body;
+    std::string caller; // the machine that sent it through a relay
 
     std::string header(const std::string &name) const
     {
@@ -100,12 +101,14 @@
     void close();
     bool isOpen() const { return m_isOpen; }
     bool isBusy() const { return bool(m_done); }
+    std::uint16_t port() const { return m_port; }
 
 private:
     void read();
     void finish(int status, const std::string &body);
 
     asio::io_context &m_io;
+    std::uint16_t m_port;
     Tcp::socket m_socket;
     std::string m_buf;
     std::string m_out;
@@ -127,6 +130,8 @@
     void silence();
     bool isCut() const { return m_isCut; }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    /// Names the machine whose connections pass here, so that a server can tell who calls.
+    void setCaller(const std::string &caller) { m_caller = caller; }
 
 private:
     struct Pair;
@@ -138,9 +143,13 @@
     Tcp::acceptor m_acceptor;
     std::uint16_t m_target;
     bool m_isCut = false;
+    std::string m_caller;
     std::set<std::shared_ptr<Pair>> m_pairs;
 };
 
+/// Machines by the port from which a relay calls for them.
+std::map<std::uint16_t, std::string> &callersByPort();
+
 std::uint16_t freePort();
 
 } // namespace Review
--- a/review/harness-3/world.h
+++ b/review/harness-3/world.h
@@ -86,6 +86,7 @@
     double begin = 0;
     double end = 0; // 0: still running
     std::string how;
+    std::string starter; // the machine that sent the order
 };
 
 class World;
@@ -144,8 +145,8 @@
     std::int64_t clock() const;
     void handle(const Message &message, const Respond &respond);
     void carryOut(const std::string &path, const json &body, const std::string &expected,
-                  const Respond &respond);
-    void start(const json &body, const Respond &respond);
+                  const std::string &caller, const Respond &respond);
+    void start(const json &body, const std::string &caller, const Respond &respond);
     void stop(const json &body, const Respond &respond);
     void hold(const json &body, const Respond &respond);
     void extend(const json &body);
@@ -232,6 +233,10 @@
     void declare(const Job &job) { m_jobs[job.id] = job; }
     const Job *jobOf(const std::string &task) const;
     Executor *executor(const std::string &id);
+    /// RULES.md, In touch: no disruption of the machine in the contactMs before \a time.
+    bool isInTouch(const std::string &machine, double time) const;
+    void disruptionBegins(const std::string &machine);
+    void disruptionEnds(const std::string &machine);
     /// All runs so far of tasks of this job.
     std::vector<RunRecord> runsOf(const std::string &job) const;
 
@@ -242,9 +247,10 @@
     std::vector<std::unique_ptr<Process>> processes;
     std::vector<RunRecord> runs;
     std::string host = "review.example";
-    json settings = json::object(); // merged into those of the processes
-    std::size_t overCapacity = 0;   // starts that brought an executor over its capacity
-    std::size_t withoutLabel = 0;   // starts on an executor without the required label
+    json settings = json::object();                          // merged into those of the processes
+    std::map<std::string, std::vector<double>> terminations; // SIGTERM, by machine
+    std::size_t overCapacity = 0; // starts that brought an executor over its capacity
+    std::size_t withoutLabel = 0; // starts on an executor without the required label
 
 private:
     std::string viewOf(std::size_t reader, const std::string &table, const std::string &key,
@@ -253,6 +259,7 @@
     std::string m_program;
     std::string m_folder;
     std::map<std::string, Job> m_jobs;
+    std::map<std::string, std::vector<std::pair<double, double>>> m_disruptions;
 };
 
 } // namespace Review
