Http: requests over connections to a known process only

The client of an address can't tell whether the process there is still the one that it means. libcurl replaces a kept-alive connection that was closed by a new one without telling, so that a request may reach a successor.

A user of the client can now record which process (PeerInstance) has stated itself on a connection, and send a request over connections to that one only. Such a request opens no connection and is not sent over another one: curl asks before it opens a socket, and once it has chosen a connection, which is looked up by its two ends. Entries end with the socket, which curl reports.

tst_http plays it over a relay: no connection, another instance, a connection that was closed or is busy. Unchanged for requests without an instance; not used by any caller yet.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -13,7 +13,10 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <map>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -23,6 +26,41 @@
 using Base::FailureCode;
 using Base::makeFailure;
 
+/// Ends of a connection. Different for all connections that are open at the same time.
+struct ConnectionEnds
+{
+    std::string peerAddress;
+    long peerPort = 0;
+    long localPort = 0;
+
+    auto operator<=>(const ConnectionEnds &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// The open connections over which a response was received, and the instances that they lead to.
+class ConnectionTable
+{
+public:
+    /// The connection of a transfer that has ended and is still in \a easy; 0 if it is closed.
+    ConnectionId idOf(CURL *easy);
+    void closed(curl_socket_t fd);
+    void setInstance(ConnectionId id, PeerInstance instance);
+    /// 0 if unknown.
+    PeerInstance instanceAt(const ConnectionEnds &ends) const;
+
+private:
+    struct Connection
+    {
+        ConnectionEnds ends;
+        PeerInstance instance;
+    };
+
+    ConnectionId m_lastId;
+    // The same connections are in all three: curl reports the end of each.
+    std::map<ConnectionId, Connection> m_connections;
+    std::map<ConnectionEnds, ConnectionId> m_byEnds;
+    std::unordered_map<curl_socket_t, ConnectionId> m_bySocket;
+};
+
 struct Transfer
 {
     std::uint64_t id = 0;
@@ -33,6 +71,9 @@
     std::string responseBody;
     std::size_t maxResponseBytes = Constants::MAX_RESPONSE_BYTES;
     bool isTooLarge = false;
+    PeerInstance instance; // 0: any
+    bool isInstanceUnconfirmed = false;
+    const ConnectionTable *connections = nullptr;
     ResponseHandler handler;
 };
 
@@ -59,6 +100,11 @@
         static_cast<Private *>(user)->updateSocket(fd, what);
         return 0;
     }
+    static int closeSocketCallback(void *user, curl_socket_t fd)
+    {
+        static_cast<Private *>(user)->connections.closed(fd);
+        return close(fd);
+    }
     static int timerCallback(CURLM *, long milliseconds, void *user)
     {
         static_cast<Private *>(user)->setTimeout(milliseconds);
@@ -74,7 +120,7 @@
     void finishTransfer(CURL *easy, CURLcode code);
     void release(Transfer &transfer);
     CURL *takeHandle();
-    static void configure(Transfer &transfer, const ClientRequest &request);
+    void configure(Transfer &transfer, const ClientRequest &request);
 
     asio::io_context &io;
     asio::steady_timer timer;
@@ -87,10 +133,78 @@
     std::unordered_map<curl_socket_t, std::pair<std::uint64_t, std::unique_ptr<WatchedSocket>>>
         sockets;
     std::vector<CURL *> idleHandles;
+    ConnectionTable connections;
     // Captured by Asio handlers, so that they do nothing after the client is destroyed.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
+ConnectionId ConnectionTable::idOf(CURL *easy)
+{
+    const char *address = nullptr;
+    ConnectionEnds ends;
+    curl_easy_getinfo(easy, CURLINFO_PRIMARY_IP, &address);
+    curl_easy_getinfo(easy, CURLINFO_PRIMARY_PORT, &ends.peerPort);
+    curl_easy_getinfo(easy, CURLINFO_LOCAL_PORT, &ends.localPort);
+    ends.peerAddress = address ? address : "";
+    const auto known = m_byEnds.find(ends);
+    if (known != m_byEnds.end())
+        return known->second;
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
+    if (fd == CURL_SOCKET_BAD)
+        return {};
+    EP_ASSERT(!m_bySocket.contains(fd), closed(fd));
+    m_lastId = m_lastId.next();
+    m_connections.emplace(m_lastId, Connection{ends, {}});
+    m_byEnds.emplace(ends, m_lastId);
+    m_bySocket.emplace(fd, m_lastId);
+    return m_lastId;
+}
+
+void ConnectionTable::closed(curl_socket_t fd)
+{
+    const auto it = m_bySocket.find(fd);
+    if (it == m_bySocket.end())
+        return;
+    const auto connection = m_connections.find(it->second);
+    m_byEnds.erase(connection->second.ends);
+    m_connections.erase(connection);
+    m_bySocket.erase(it);
+}
+
+void ConnectionTable::setInstance(ConnectionId id, PeerInstance instance)
+{
+    const auto it = m_connections.find(id);
+    if (it != m_connections.end())
+        it->second.instance = instance;
+}
+
+PeerInstance ConnectionTable::instanceAt(const ConnectionEnds &ends) const
+{
+    const auto it = m_byEnds.find(ends);
+    return it == m_byEnds.end() ? PeerInstance() : m_connections.at(it->second).instance;
+}
+
+/// Called in place of opening a socket for a request to a certain instance.
+static curl_socket_t refuseSocket(void *user, curlsocktype, curl_sockaddr *)
+{
+    static_cast<Transfer *>(user)->isInstanceUnconfirmed = true;
+    return CURL_SOCKET_BAD;
+}
+
+/// Called when curl has chosen a connection for a request to a certain instance, before it sends
+/// anything.
+static int checkInstance(void *user, char *peerAddress, char *, int peerPort, int localPort)
+{
+    auto *transfer = static_cast<Transfer *>(user);
+    const PeerInstance instance =
+        transfer->connections->instanceAt({peerAddress, peerPort, localPort});
+    if (instance == transfer->instance)
+        return CURL_PREREQFUNC_OK;
+    transfer->isInstanceUnconfirmed = true;
+    return CURL_PREREQFUNC_ABORT;
+}
+
 static std::size_t writeCallback(char *data, std::size_t, std::size_t n, void *user)
 {
     auto *transfer = static_cast<Transfer *>(user);
@@ -263,7 +377,9 @@
     response.status = transferStatus(easy, code);
     response.isDisconnected = isDisconnectedByPeer(easy, code);
     response.isTooLarge = transfer->isTooLarge;
+    response.isInstanceUnconfirmed = !response.status.ok() && transfer->isInstanceUnconfirmed;
     if (response.status.ok()) {
+        response.connection = connections.idOf(easy);
         long httpStatus = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &httpStatus);
         response.httpStatus = static_cast<int>(httpStatus);
@@ -325,6 +441,16 @@
                                              ("Authorization: " + request.authorization).c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocketCallback);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    if (request.instance.value() != 0) {
+        transfer.instance = request.instance;
+        transfer.connections = &connections;
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, refuseSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkInstance);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    }
     if (request.method == "GET")
         return;
     curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -358,7 +484,7 @@
     if (request.maxResponseBytes > 0)
         transfer->maxResponseBytes = request.maxResponseBytes;
     transfer->handler = std::move(handler);
-    Private::configure(*transfer, request);
+    m_d->configure(*transfer, request);
     CURL *easy = transfer->easy;
     m_d->transfers.emplace(id, std::move(transfer));
     curl_multi_add_handle(m_d->multi, easy);
@@ -376,6 +502,11 @@
     m_d->release(*transfer);
 }
 
+void Client::setInstance(ConnectionId connection, PeerInstance instance)
+{
+    m_d->connections.setInstance(connection, instance);
+}
+
 std::size_t Client::pendingCount() const
 {
     return m_d->transfers.size();
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -17,6 +17,12 @@
 
 namespace Http {
 
+/// Tells apart the processes that are reachable at one address after each other. The numbers are
+/// those of the client's user; 0 stands for an unknown one.
+using PeerInstance = Base::Number<struct PeerInstanceTag>;
+/// An open connection. Not used again after it was closed; 0 stands for none.
+using ConnectionId = Base::Number<struct ConnectionIdTag>;
+
 struct ClientRequest
 {
     std::string method = "GET";
@@ -32,6 +38,9 @@
     bool idempotent = true;
     /// A response with a longer body fails; 0 stands for Constants::MAX_RESPONSE_BYTES.
     std::size_t maxResponseBytes = 0;
+    /// Unless 0, the request is sent only over an open connection to this instance, see
+    /// Client::setInstance(). A new connection may lead to another one, so none is opened.
+    PeerInstance instance;
 };
 
 struct ClientResponse
@@ -43,6 +52,11 @@
     bool isDisconnected = false;
     /// The body exceeded ClientRequest::maxResponseBytes.
     bool isTooLarge = false;
+    /// Not sent, since no idle connection to ClientRequest::instance is open; the status is
+    /// peerUnreachable.
+    bool isInstanceUnconfirmed = false;
+    /// Over which the response was received; 0 if it has been closed since.
+    ConnectionId connection;
     int httpStatus = 0;
     std::string body;
 };
@@ -63,6 +77,9 @@
     /// Cancels a request without calling its handler. Unknown ids are ignored.
     void cancel(ClientRequestId id);
     std::size_t pendingCount() const;
+    /// The process at the other end of \a connection has stated that it is \a instance. That holds
+    /// until the connection is closed. Connections that are closed already are ignored.
+    void setInstance(ConnectionId connection, PeerInstance instance);
 
 private:
     struct Private;
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -1,4 +1,6 @@
 // Tests of the HTTP library over the loopback interface.
+#include "../../support/faultrelay.h"
+
 #include <base/failure.h>
 #include <http/client.h>
 #include <http/server.h>
@@ -13,6 +15,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <vector>
 
 using namespace Http;
@@ -269,6 +272,104 @@
     BOOST_TEST(server.requestCount() == 2);
 }
 
+/// Sends a request for \a instance, if that is not 0, and returns the response. \a whileOpen is
+/// called before it is waited for.
+static ClientResponse sendTo(
+    asio::io_context &io, Client &client, std::uint16_t port, PeerInstance instance,
+    const std::function<void()> &whileOpen = [] {})
+{
+    ClientRequest request;
+    request.method = "POST";
+    request.url = urlOf(port, "/");
+    request.body = "order";
+    request.idempotent = false;
+    request.instance = instance;
+    ClientResponse result;
+    bool isDone = false;
+    client.send(request, [&](const ClientResponse &response) {
+        result = response;
+        isDone = true;
+    });
+    whileOpen();
+    for (int i = 0; i < 2000 && !isDone; ++i)
+        io.run_for(std::chrono::milliseconds(10));
+    BOOST_TEST_REQUIRE(isDone);
+    return result;
+}
+
+// Guards against requests that reach another process than the one they are meant for, since it was
+// started again at the same address.
+BOOST_AUTO_TEST_CASE(requestToAnInstanceIsSentOverItsConnectionsOnly)
+{
+    asio::io_context io;
+    const std::uint16_t serverPort = freePort(io);
+    const std::uint16_t port = freePort(io);
+    TestSupport::FaultRelay relay(io, port, serverPort);
+    int handledCount = 0;
+    std::set<std::uint64_t> connections;
+    const auto handler = [&](const Request &request, const Respond &respond) {
+        ++handledCount;
+        connections.insert(request.connection);
+        respond({});
+    };
+    Server server(io, optionsFor(serverPort), handler);
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    const auto isUnconfirmed = [&](std::uint64_t instance) {
+        const int before = handledCount;
+        const ClientResponse response = sendTo(io, client, port, PeerInstance(instance));
+        const bool isUnreachable =
+            Base::failureCode(response.status) == Base::FailureCode::PeerUnreachable;
+        BOOST_TEST(response.isInstanceUnconfirmed == isUnreachable);
+        BOOST_TEST(handledCount == before + (isUnreachable ? 0 : 1));
+        return response.isInstanceUnconfirmed;
+    };
+    BOOST_TEST(isUnconfirmed(1)); // no connection
+    const ClientResponse first = sendTo(io, client, port, {});
+    BOOST_TEST_REQUIRE(first.connection.value() != 0U);
+    client.setInstance(first.connection, PeerInstance(1));
+    BOOST_TEST(!isUnconfirmed(1));
+    BOOST_TEST(!isUnconfirmed(1));
+    BOOST_TEST((sendTo(io, client, port, {}).connection == first.connection));
+    BOOST_TEST(connections.size() == 1U);
+    BOOST_TEST(isUnconfirmed(2)); // which closes the connection
+    BOOST_TEST(isUnconfirmed(1));
+    const ClientResponse second = sendTo(io, client, port, {});
+    BOOST_TEST((second.connection != first.connection));
+    client.setInstance(first.connection, PeerInstance(1)); // closed
+    BOOST_TEST(isUnconfirmed(1));
+    client.setInstance(sendTo(io, client, port, {}).connection, PeerInstance(1));
+    BOOST_TEST(!isUnconfirmed(1));
+    relay.reset(); // as a process does that ends
+    io.run_for(std::chrono::milliseconds(50));
+    BOOST_TEST(isUnconfirmed(1));
+}
+
+// A second request does not open a connection while the one to its instance is in use.
+BOOST_AUTO_TEST_CASE(requestToAnInstanceWhoseConnectionsAreBusyIsNotSent)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    std::vector<Respond> open;
+    Server server(io, optionsFor(port), [&](const Request &, const Respond &respond) {
+        open.push_back(respond);
+        if (open.size() != 2)
+            respond({});
+    });
+    BOOST_TEST_REQUIRE(server.open().ok());
+    Client client(io, 4);
+    client.setInstance(sendTo(io, client, port, {}).connection, PeerInstance(1));
+    const ClientResponse held = sendTo(io, client, port, PeerInstance(1), [&] {
+        while (open.size() < 2)
+            io.run_for(std::chrono::milliseconds(10));
+        BOOST_TEST(sendTo(io, client, port, PeerInstance(1)).isInstanceUnconfirmed);
+        BOOST_TEST(open.size() == 2U);
+        open.back()({});
+    });
+    BOOST_TEST(held.status.ok());
+    BOOST_TEST(sendTo(io, client, port, PeerInstance(1)).status.ok());
+}
+
 /// Sends \a requests over a new connection and returns it.
 static asio::ip::tcp::socket sendText(asio::io_context &io, std::uint16_t port,
                                       const std::string &text)
