Dispatch: starts and stops reach only the lifetime that they are meant for

Cause: an order names the executor's id, which the next lifetime has as well. The owner of an idle executor has no order under way there and learns of the restart from the registration, up to 0.5 s later, or from the answer to its next order, which may be a start. The HTTP client sent it over a new connection, since the one to the earlier lifetime was closed.

Change: a connection ends with the process at its other end, so it leads to one lifetime. Starts and stops state the lifetime that they are meant for, and are sent only over connections on which a listing has stated that one. Otherwise LifetimeGuard requests a listing first, which grants no lease and acknowledges no ends; if another lifetime answers, the order ends as OtherLifetime and the task is queued again. New: log line orderWithheld, two metrics.

--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -31,6 +31,9 @@
 constexpr std::size_t CONFIRMING_EXECUTORS = 2;
 /// An order is answered or times out within this: the time-out of the adapter and a margin.
 constexpr milliseconds ORDER_TIMEOUT_MS{250};
+/// How often the lifetime of an executor is confirmed for one order. More often than once only if
+/// other orders take the confirmed connection.
+constexpr int MAX_CONFIRMATIONS = 3;
 /// Pause between holds of an executor that does not answer.
 constexpr milliseconds HOLD_RETRY_MS{100};
 /// The same for an executor at whose address another lifetime answers; a registration tells of its
--- a/src/libs/dispatch/dispatchnode.h
+++ b/src/libs/dispatch/dispatchnode.h
@@ -7,6 +7,7 @@
 #include "groupownership.h"
 #include "jobcancellation.h"
 #include "jobcoordinator.h"
+#include "lifetimeguard.h"
 #include "registrationexchange.h"
 
 #include <wire/peerport.h>
@@ -66,6 +67,7 @@
     /// Memory for the tasks at the owned groups, as estimated.
     std::size_t taskBytes() const { return m_taskMemory->usedBytes(); }
     const ExecutorLosses &losses() const { return m_losses; }
+    const LifetimeGuardCounters &lifetimeGuardCounters() const { return m_port.counters(); }
     const std::map<GroupId, std::unique_ptr<ExecutorGroup>> &ownedGroups() const { return m_owned; }
     /// Whether at least one group with executors has an owner.
     bool canServe() const;
@@ -141,7 +143,7 @@
 
     const Base::DaemonId m_self;
     Base::Timers &m_timers;
-    ExecutorPort &m_port;
+    LifetimeGuard m_port;
     Wire::PeerPort &m_peers;
     const DispatchOptions m_options;
     StateListener *m_stateListener = nullptr;
--- a/src/libs/dispatch/executorgroup.cpp
+++ b/src/libs/dispatch/executorgroup.cpp
@@ -495,6 +495,7 @@
     order.payload = task.batch->message.payload;
     order.leaseEnd = executor.nextLeaseEnd(now, Constants::LEASE_MS);
     order.token = m_token;
+    order.lifetime = executor.lifetime();
     executor.leaseSent(now);
     Base::log(LogLevel::Debug, "startSent",
               {{"task", toString(id)},
@@ -580,7 +581,7 @@
         return;
     }
     if (result.outcome == OrderOutcome::OtherLifetime && lifetime == executor->lifetime())
-        executorRestarted(*executor, Lifetime());
+        executorRestarted(*executor, result.lifetime);
     if (result.outcome == OrderOutcome::NotSent) {
         executor->answerMissed(now, true);
         executor->nextTry = now;
@@ -645,7 +646,7 @@
     const ExecutorId executorId = executor.info().id;
     m_orders.sent(
         {OrderKind::Stop, executorId, id, run.number, 0, now, Base::Duration(0), repeats});
-    m_port.stopTask(executor.info(), {id, run.number, m_token},
+    m_port.stopTask(executor.info(), {id, run.number, m_token, executor.lifetime()},
                     [this, alive = m_isAlive, executorId, lifetime = executor.lifetime(), id,
                      number = run.number](const OrderResult &result) {
                         if (*alive)
@@ -676,7 +677,7 @@
     if (result.refusal == RefusalReason::Fenced) {
         fence(executorId);
     } else if (result.outcome == OrderOutcome::OtherLifetime && lifetime == executor->lifetime()) {
-        executorRestarted(*executor, Lifetime());
+        executorRestarted(*executor, result.lifetime);
     }
     // Otherwise the stop is repeated by checkRuns().
 }
@@ -741,6 +742,7 @@
         [[fallthrough]];
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
+    case OrderOutcome::Unconfirmed:
     case OrderOutcome::Unknown:
         if (m_orders.holdMissed(*executor, sequence, result.order))
             loadChanged();
@@ -1087,8 +1089,9 @@
 }
 
 /// A start that no listing of the ended lifetime contains may have been accepted by the \a next
-/// one, whose first listing shows it. If an executor of another id answers (\a next is 0), that
-/// holds for unanswered starts only.
+/// one, if the executor does not state its lifetime in listings. The first listing of that one
+/// shows it. If an executor of another id answers (\a next is 0), that holds for unanswered starts
+/// only.
 void ExecutorGroup::runsOfEndedLifetimeGone(ExecutorState &executor, Lifetime next)
 {
     std::vector<TaskId> lost;
--- a/src/libs/dispatch/executorport.h
+++ b/src/libs/dispatch/executorport.h
@@ -17,6 +17,7 @@
     Unhealthy,     ///< Certainly not carried out; the executor takes no orders at present.
     OtherLifetime, ///< Certainly not carried out; another lifetime answered.
     NotSent,       ///< Certainly not carried out; no connection.
+    Unconfirmed,   ///< Certainly not carried out; see ExecutorPort.
     Unknown,       ///< May have been carried out, or may still be, seconds later.
 };
 
@@ -34,6 +35,8 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     RefusalReason refusal = RefusalReason::None;
     std::optional<ExecutorTime> clock; // when the answer was sent
+    /// If OtherLifetime: the one that answered; 0 if not stated.
+    Lifetime lifetime;
     /// There is no answer since the executor closed, reset or refused the connection.
     bool isDisconnected = false;
 };
@@ -45,6 +48,7 @@
     std::string payload;
     std::optional<ExecutorTime> leaseEnd; // of everything that runs on the executor
     FencingToken token;
+    Lifetime lifetime; // for which the order is meant; 0: any
 };
 
 struct StopOrder
@@ -52,6 +56,7 @@
     TaskId task;
     RunNumber run;
     FencingToken token;
+    Lifetime lifetime; // for which the order is meant; 0: any
 };
 
 /// Extends the lease, acknowledges ends, and lists the active runs and the ends since.
@@ -86,6 +91,10 @@
 };
 
 /// Sends orders. Each callback runs exactly once, on the event loop and never from within the call.
+/// An executor that restarts keeps its id and address, and carries out what was meant for its
+/// earlier lifetime. A connection leads to one lifetime only, which a hold on it states. A start or
+/// stop that is meant for a lifetime is sent over a connection to that one, or ends as Unconfirmed
+/// if none is idle; after a hold there is one, unless another order uses it.
 class ExecutorPort
 {
 public:
--- a/src/libs/dispatch/executorstate.h
+++ b/src/libs/dispatch/executorstate.h
@@ -24,8 +24,8 @@
     /// Lifetime of the executor to which the start was sent, or which has listed the run. 0 if it
     /// was not known.
     Lifetime lifetime;
-    /// Listed in that lifetime. Until then a later one may have accepted the start: orders name
-    /// the executor, not its lifetime.
+    /// Listed in that lifetime. Until then a later one may have accepted the start, if the executor
+    /// does not state its lifetime in listings.
     bool isListed = false;
     Resources shape; // empty if the run is not claimed
     RunState state = RunState::Starting;
--- a/src/libs/dispatch/unansweredorders.cpp
+++ b/src/libs/dispatch/unansweredorders.cpp
@@ -58,8 +58,8 @@
     return m_watch->isMeasured() && !run.isConfirmed;
 }
 
-/// An order names the executor, not its lifetime. A start that was sent to an earlier one may have
-/// been accepted by it and lost with it. The end of the run may be missing in a full listing.
+/// A start that was sent to an earlier lifetime may have been accepted by it and lost with it. The
+/// end of the run may be missing in a full listing.
 bool UnansweredOrders::isNeverStarted(const ExecutorState &executor, const Run &run,
                                       const HoldResult &listing) const
 {
--- a/src/plugins/dispatchservice/dispatchservice.cpp
+++ b/src/plugins/dispatchservice/dispatchservice.cpp
@@ -86,6 +86,12 @@
     add("endivepath_removed_losses",
         "Recorded losses of executors that answered again in the same lifetime.",
         [this] { return m_node->losses().removedCount(); });
+    add("endivepath_lifetime_confirmations",
+        "Listings requested to learn which lifetime of an executor an order would reach.",
+        [this] { return m_node->lifetimeGuardCounters().confirmations; });
+    add("endivepath_orders_withheld",
+        "Orders not sent since the executor had restarted without its owner knowing.",
+        [this] { return m_node->lifetimeGuardCounters().withheld; });
     const auto sum = [this](auto member) {
         return [this, member] {
             double n = 0;
--- a/tests/auto/dispatch/fakeexecutors.h
+++ b/tests/auto/dispatch/fakeexecutors.h
@@ -377,6 +377,11 @@
         };
     /// Connections break when an executor crashes. Otherwise its silence shows that.
     bool isCrashNoticed = false;
+    /// Starts and stops reach only the lifetime that they are meant for, see ExecutorPort.
+    /// Otherwise they reach whichever is up.
+    bool areOrdersBound = false;
+    /// Whether orders use all connections to an executor.
+    std::function<bool()> areConnectionsBusy = [] { return false; };
     /// Whether the task crashes its executor.
     std::function<bool(const StartOrder &)> isFatal = [](const StartOrder &) { return false; };
     /// Whether executors refuse to start the task for its order.
@@ -417,6 +422,10 @@
                    OrderCallback callback) override
     {
         m_executors.checkLeaseEnd(executor, order.leaseEnd);
+        if (!isConfirmed(executor.id, order.lifetime)) {
+            refuseUnconfirmed(std::move(callback));
+            return;
+        }
         send<OrderResult>(executor, 200ms, std::move(callback),
                           [this, order](auto &it) { return m_executors.start(it, order); });
     }
@@ -424,6 +433,10 @@
     void stopTask(const ExecutorInfo &executor, const StopOrder &order,
                   OrderCallback callback) override
     {
+        if (!isConfirmed(executor.id, order.lifetime)) {
+            refuseUnconfirmed(std::move(callback));
+            return;
+        }
         send<OrderResult>(executor, 200ms, std::move(callback),
                           [this, order](auto &it) { return m_executors.stop(it, order); });
     }
@@ -432,7 +445,13 @@
     {
         m_executors.checkLeaseEnd(executor, order.leaseEnd);
         const OrderDelivery delivery = m_executors.chooseDelivery();
-        const auto answer = makeAnswerCallback<HoldResult>(200ms + order.wait, std::move(callback));
+        const auto answer = makeAnswerCallback<HoldResult>(
+            200ms + order.wait,
+            [this, id = executor.id, callback = std::move(callback)](const HoldResult &result) {
+                if (result.order.outcome == OrderOutcome::Accepted)
+                    m_confirmed[id] = result.lifetime;
+                callback(result);
+            });
         const auto respond = [this, delivery, answer, id = executor.id] {
             const HoldResult result = m_executors.list(m_executors.at(id));
             deliverAnswer(id, delivery, [answer, result] { (*answer)(result); });
@@ -470,6 +489,24 @@
     }
 
 private:
+    /// Whether an idle connection leads to \a lifetime for sure.
+    bool isConfirmed(const ExecutorId &id, Lifetime lifetime)
+    {
+        if (!m_executors.areOrdersBound || lifetime.value() == 0)
+            return true;
+        return m_executors.at(id).info.lifetime == lifetime && m_confirmed[id] == lifetime
+               && !m_executors.areConnectionsBusy();
+    }
+
+    void refuseUnconfirmed(OrderCallback callback)
+    {
+        m_timers->schedule(Base::Duration(0), [callback = std::move(callback)] {
+            OrderResult result;
+            result.outcome = OrderOutcome::Unconfirmed;
+            callback(result);
+        });
+    }
+
     static HoldResult brokenHold()
     {
         HoldResult result;
@@ -537,6 +574,7 @@
     FakeExecutors &m_executors;
     Base::Timers *m_timers; // null after detach(); orders sent before that may still arrive
     const std::string m_daemon;
+    std::map<ExecutorId, Lifetime> m_confirmed; // that answered the last hold
 };
 
 } // namespace DispatchTest
--- a/tests/auto/dispatch/tst_dispatchrandom.cpp
+++ b/tests/auto/dispatch/tst_dispatchrandom.cpp
@@ -25,6 +25,7 @@
     enum class Executors { Usual, OftenUnreachable };
 
     enum class Clocks { Exact, Slow };
+    enum class Orders { ToAnyLifetime, ToTheirLifetime };
 
     explicit Schedule(std::uint64_t seed, Tasks tasks = Tasks::Harmless,
                       Executors executors = Executors::Usual, Clocks clocks = Clocks::Exact,
@@ -62,6 +63,12 @@
     }
 
     void setOptions(const DispatchOptions &options) { m_cluster.options = options; }
+    /// Starts and stops reach only the lifetime that they are meant for.
+    void bindOrders()
+    {
+        m_cluster.executors.areOrdersBound = true;
+        m_cluster.executors.areConnectionsBusy = [this] { return draw(4) == 0; };
+    }
 
     /// Returns the first invariant that was violated, or an empty string.
     std::string run()
@@ -372,7 +379,8 @@
 static void runSchedules(Schedule::Tasks tasks, std::uint64_t runs,
                          Schedule::Executors executors = Schedule::Executors::Usual,
                          Schedule::Clocks clocks = Schedule::Clocks::Exact,
-                         const DispatchOptions &options = {})
+                         const DispatchOptions &options = {},
+                         Schedule::Orders orders = Schedule::Orders::ToAnyLifetime)
 {
     runs = environmentNumber("EP_RANDOM_RUNS", runs);
     const std::uint64_t first = environmentNumber("EP_RANDOM_SEED", 1);
@@ -381,6 +389,8 @@
     std::size_t completed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
         Schedule schedule(seed, tasks, executors, clocks, options);
+        if (orders == Schedule::Orders::ToTheirLifetime)
+            schedule.bindOrders();
         const std::string violation = schedule.run();
         completed += schedule.completed();
         if (violation.empty())
@@ -419,6 +429,18 @@
                  Schedule::Clocks::Slow);
 }
 
+// Orders that wait until the lifetime is confirmed that they are meant for.
+BOOST_AUTO_TEST_CASE(randomSchedulesWithBoundOrders)
+{
+    DispatchOptions options;
+    options.orders = OrderPolicy::MeasuredTimeout;
+    options.runTimes = RunTimePolicy::Learned;
+    runSchedules(Schedule::Tasks::Harmless, 100, Schedule::Executors::Usual, Schedule::Clocks::Slow,
+                 options, Schedule::Orders::ToTheirLifetime);
+    runSchedules(Schedule::Tasks::SomeFatal, 100, Schedule::Executors::Usual,
+                 Schedule::Clocks::Exact, {}, Schedule::Orders::ToTheirLifetime);
+}
+
 // Guards the invariants with the placement and the queue order for hard load.
 BOOST_AUTO_TEST_CASE(randomSchedulesWithLookAheadByJob)
 {
