Soak: executors restart as another kind, and jobs require one

Now the lifetimes of an executor are of two kinds in turn, and a third of the jobs without trouble requires one.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -70,6 +70,16 @@
         scheduleNext(i);
 }
 
+/// A part of the jobs requires a kind of executor. Not drawn, so that a seed keeps its load.
+void Callers::requireKind(JobPlan &plan) const
+{
+    static constexpr std::uint64_t PERIOD = 3;
+    if (m_jobCount % PERIOD != 0 || plan.trouble != Trouble::None)
+        return;
+    for (StepPlan &it : plan.steps)
+        it.requiredKind = EXECUTOR_KINDS[m_jobCount / PERIOD % std::size(EXECUTOR_KINDS)];
+}
+
 JobPlan Callers::makeShortJob()
 {
     static constexpr std::uint32_t CPU_MILLIS = 1700;
@@ -135,7 +145,8 @@
     m_timers.schedule(pause, [this, caller] {
         if (m_isStopped)
             return;
-        const JobPlan plan = makeJob();
+        JobPlan plan = makeJob();
+        requireKind(plan);
         m_ledger.add(plan);
         ++m_open;
         send(caller, plan, MAX_ATTEMPTS);
@@ -218,6 +229,8 @@
                           {"estimateMs", it.runMs}});
         if (!it.after.empty())
             phases.back()["after"] = it.after;
+        if (!it.requiredKind.empty())
+            phases.back()["requirements"] = it.requiredKind;
     }
     const std::string body =
         json({{"spec", plan.spec()}, {"phases", phases}, {"bestEffort", true}}).dump();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -43,6 +43,7 @@
     std::uint64_t random(std::uint64_t max) { return m_random() % max; }
     JobPlan makeJob();
     JobPlan makeShortJob();
+    void requireKind(JobPlan &plan) const;
     void scheduleNext(std::size_t caller);
     void send(std::size_t caller, const JobPlan &plan, int attemptsLeft);
     void attemptEnded(std::size_t caller, const JobPlan &plan, int attemptsLeft, int status);
--- a/tests/soak/executors.cpp
+++ b/tests/soak/executors.cpp
@@ -41,6 +41,7 @@
     executor->zone = zone;
     executor->port = port;
     executor->guardsRoom = service == "guarded";
+    executor->kind = EXECUTOR_KINDS[index % 2];
     Http::ServerOptions options;
     options.address = "127.0.0.1";
     options.port = port;
@@ -101,6 +102,7 @@
         m_lastBorn = std::max(m_lastBorn + 1, unixMs);
         it.life.born = m_lastBorn;
     }
+    it.kind = it.kind == EXECUTOR_KINDS[0] ? EXECUTOR_KINDS[1] : EXECUTOR_KINDS[0];
     it.isUp = true;
     it.isDraining = false;
     it.sequence = 0;
@@ -112,7 +114,8 @@
     it.refusedUpTo.clear();
     it.ended.clear();
     it.lastEnd = 0;
-    m_journal.note(fmt::format("executor {} begins, born {}", it.life.id, it.life.born));
+    m_journal.note(
+        fmt::format("executor {} begins, born {}, kind {}", it.life.id, it.life.born, it.kind));
     // Registered at once; the heartbeats of the executors are spread over the period.
     const Milliseconds pause(1 + random(HEARTBEAT_MS.count()));
     if (it.registrationDelay.count() == 0)
@@ -142,7 +145,7 @@
                   {"born", it.life.born},
                   {"capacity",
                    {{"cpu", CAPACITY_CPU_MILLIS}, {"memMb", CAPACITY_MEMORY_MB}, {"gpu", 0}}},
-                  {"labels", {"plain", "r1-1"}}})
+                  {"labels", {it.kind, "r1-1"}}})
                 .dump());
     }
     m_timers.schedule(pause, [this, index, life] { heartbeat(index, life, HEARTBEAT_MS); });
@@ -372,6 +375,11 @@
         return answer(it, 400);
     if (plan->service != it.service)
         m_journal.find(fmt::format("a start on another service: {} on {}", name, it.life.id));
+    const std::string &requiredKind = plan->steps[run.task.step].requiredKind;
+    if (!requiredKind.empty() && requiredKind != it.kind) {
+        m_journal.find(fmt::format("a start without the required label {}: {} on {}, born {}",
+                                   requiredKind, name, it.life.id, it.life.born));
+    }
     extendLease(index, body);
     run.id = ++m_lastId;
     const std::uint32_t ms = plan->steps[run.task.step].runMs;
--- a/tests/soak/executors.h
+++ b/tests/soak/executors.h
@@ -94,6 +94,7 @@
         ExecutorLife life;
         std::string service;
         std::string zone;
+        std::string kind; // another one in each lifetime
         std::uint16_t port = 0;
         bool guardsRoom = false;
         bool isUp = false;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -18,6 +18,9 @@
 /// The queue that is not always in the desired state.
 constexpr char EXTRA_QUEUE[] = "extra";
 
+/// The kinds that the lifetimes of an executor have in turn.
+constexpr const char *EXECUTOR_KINDS[] = {"plain", "other"};
+
 /// How the tasks of a job behave, apart from working.
 enum class Trouble {
     None,
@@ -33,6 +36,7 @@
     std::uint32_t memoryMb = 128;
     std::uint32_t runMs = 60;
     std::vector<std::uint32_t> after;
+    std::string requiredKind = {}; // of the executor; empty: any
 };
 
 struct JobPlan
