Http: a request to an instance that was cut off may have been received

Cause: if a kept connection is closed without a response, libcurl tries the request again on a new one. For a request to an instance the new connection is refused, and the refusal set isInstanceUnconfirmed, so that the order counted as not sent and its task was started elsewhere, although the executor had received it.

Change: a refused connection means "not sent" only if no byte of the request was sent. Otherwise the peer has closed the connection, and the fate is unknown.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -72,7 +72,9 @@
     std::size_t maxResponseBytes = Constants::MAX_RESPONSE_BYTES;
     bool isTooLarge = false;
     PeerInstance instance; // 0: any
-    bool isInstanceUnconfirmed = false;
+    /// curl was kept from using another connection, at first or after the one to the instance was
+    /// closed without a response.
+    bool isConnectionRefused = false;
     const ConnectionTable *connections = nullptr;
     ResponseHandler handler;
 };
@@ -188,7 +190,7 @@
 /// Called in place of opening a socket for a request to a certain instance.
 static curl_socket_t refuseSocket(void *user, curlsocktype, curl_sockaddr *)
 {
-    static_cast<Transfer *>(user)->isInstanceUnconfirmed = true;
+    static_cast<Transfer *>(user)->isConnectionRefused = true;
     return CURL_SOCKET_BAD;
 }
 
@@ -201,7 +203,7 @@
         transfer->connections->instanceAt({peerAddress, peerPort, localPort});
     if (instance == transfer->instance)
         return CURL_PREREQFUNC_OK;
-    transfer->isInstanceUnconfirmed = true;
+    transfer->isConnectionRefused = true;
     return CURL_PREREQFUNC_ABORT;
 }
 
@@ -377,7 +379,10 @@
     response.status = transferStatus(easy, code);
     response.isDisconnected = isDisconnectedByPeer(easy, code);
     response.isTooLarge = transfer->isTooLarge;
-    response.isInstanceUnconfirmed = !response.status.ok() && transfer->isInstanceUnconfirmed;
+    if (!response.status.ok() && transfer->isConnectionRefused) {
+        const bool isUnsent = Base::failureCode(response.status) == FailureCode::PeerUnreachable;
+        (isUnsent ? response.isInstanceUnconfirmed : response.isDisconnected) = true;
+    }
     if (response.status.ok()) {
         response.connection = connections.idOf(easy);
         long httpStatus = 0;
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -52,7 +52,7 @@
     bool isDisconnected = false;
     /// The body exceeded ClientRequest::maxResponseBytes.
     bool isTooLarge = false;
-    /// Not sent, since no idle connection to ClientRequest::instance is open; the status is
+    /// Not sent, since there is no idle connection to ClientRequest::instance; the status is
     /// peerUnreachable.
     bool isInstanceUnconfirmed = false;
     /// Over which the response was received; 0 if it has been closed since.
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -281,7 +281,7 @@
     ClientRequest request;
     request.method = "POST";
     request.url = urlOf(port, "/");
-    request.body = "order";
+    request.body = "start-task";
     request.idempotent = false;
     request.instance = instance;
     ClientResponse result;
@@ -345,6 +345,22 @@
     BOOST_TEST(isUnconfirmed(1));
 }
 
+// Guards against requests that count as not sent although the peer received them: curl tries them
+// again on a new connection, which is refused, when the peer closes theirs without a response.
+BOOST_AUTO_TEST_CASE(requestToAnInstanceThatIsCutOffMayHaveBeenReceived)
+{
+    asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    ClosingServer server(io, port);
+    Client client(io, 4);
+    client.setInstance(sendTo(io, client, port, {}).connection, PeerInstance(1));
+    const ClientResponse response = sendTo(io, client, port, PeerInstance(1));
+    BOOST_TEST(server.requestCount() == 2);
+    BOOST_TEST((Base::failureCode(response.status) == Base::FailureCode::FateUnknown));
+    BOOST_TEST(!response.isInstanceUnconfirmed);
+    BOOST_TEST(response.isDisconnected);
+}
+
 // A second request does not open a connection while the one to its instance is in use.
 BOOST_AUTO_TEST_CASE(requestToAnInstanceWhoseConnectionsAreBusyIsNotSent)
 {
